--- /dev/null
+++ b/internal/api/answer.go
@@ -0,0 +1,43 @@
+package api
+
+import "github.com/fulmarlatch/fulmarlatch/internal/fault"
+
+// Outcome is the one result that a caller hears.
+type Outcome string
+
+// Outcomes of jobs and attempts.
+const (
+	OutcomeAccepted  Outcome = "accepted"  // kept in the log, runs later
+	OutcomeCompleted Outcome = "completed" // ran once, the answer is whole
+	OutcomeFailed    Outcome = "failed"    // ran and failed
+	OutcomeNotRun    Outcome = "not_run"   // proved not to have run
+	OutcomeUnknown   Outcome = "unknown"   // it cannot be proved whether it ran
+)
+
+// Answer is what a caller receives for a job.
+type Answer struct {
+	JobID   string       `json:"job_id" cbor:"1,keyasint"`
+	Outcome Outcome      `json:"outcome" cbor:"2,keyasint"`
+	Error   *fault.Error `json:"error,omitempty" cbor:"3,keyasint,omitempty"`
+	// Body is the upstream's answer, unchanged, for a request.
+	Body []byte `json:"body,omitempty" cbor:"4,keyasint,omitempty"`
+	// WaitMS is the time from submission to the start in milliseconds.
+	WaitMS int64 `json:"wait_ms" cbor:"5,keyasint,omitempty"`
+	// Tasks counts tasks by state for logged jobs.
+	Tasks *TaskCounts `json:"tasks,omitempty" cbor:"6,keyasint,omitempty"`
+}
+
+// TaskCounts counts the tasks of a job by state.
+type TaskCounts struct {
+	Waiting   int `json:"waiting" cbor:"1,keyasint,omitempty"`
+	Running   int `json:"running" cbor:"2,keyasint,omitempty"`
+	Completed int `json:"completed" cbor:"3,keyasint,omitempty"`
+	Failed    int `json:"failed" cbor:"4,keyasint,omitempty"`
+	Unknown   int `json:"unknown" cbor:"5,keyasint,omitempty"`
+	Cancelled int `json:"cancelled" cbor:"6,keyasint,omitempty"`
+}
+
+// Refuse returns a not_run answer for a job that was never started.
+func Refuse(jobID string, err error) Answer {
+	return Answer{JobID: jobID, Outcome: OutcomeNotRun, Error: fault.As(err)}
+}
--- /dev/null
+++ b/internal/api/resources_test.go
@@ -0,0 +1,33 @@
+package api
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestExceeds guards against a dimension that is left out of the comparison,
+// which would let a worker be overfilled.
+func TestExceeds(t *testing.T) {
+	capacity := Resources{CPUMilli: 10, MemoryMB: 10, Accelerators: 10, Slots: 10, Connections: 10}
+	for d := CPU; d < NumDimensions; d++ {
+		amount := [NumDimensions]int64{}
+		amount[d] = 11
+		r := Resources{amount[0], amount[1], amount[2], amount[3], amount[4]}
+		got, exceeds := r.Exceeds(capacity)
+		assert.Assert(t, exceeds)
+		assert.Equal(t, got, d)
+		assert.Assert(t, !r.Fits(capacity))
+	}
+	assert.Assert(t, capacity.Fits(capacity))
+}
+
+// TestJobID guards against entry names with dots breaking the routing of ids.
+func TestJobID(t *testing.T) {
+	ref := EntryRef{Name: "entry.a-1", Incarnation: 0xfeed}
+	got, err := ParseJobID(NewJobID(ref, 7))
+	assert.NilError(t, err)
+	assert.Equal(t, got, ref)
+	_, err = ParseJobID("x")
+	assert.ErrorContains(t, err, "mint an id first")
+}
--- /dev/null
+++ b/internal/api/worker.go
@@ -0,0 +1,70 @@
+package api
+
+// VMRole tells what a VM of the platform is for.
+type VMRole string
+
+// Roles of VMs.
+const (
+	RoleEntry  VMRole = "entry"
+	RoleWorker VMRole = "worker"
+)
+
+// VM is one line of the platform's list of VMs.
+type VM struct {
+	Name    string `json:"name"`
+	Role    VMRole `json:"role"`
+	Address string `json:"address"` // host:port of the worker's API or of the entry process's peer listener
+	Domain  string `json:"domain"`  // failure domain
+	Region  string `json:"region"`
+	Rack    string `json:"rack,omitempty"`
+	Leaving bool   `json:"leaving,omitempty"`
+	Gone    bool   `json:"gone,omitempty"` // in a change: the VM no longer exists
+	// Capacity is set for workers.
+	Capacity Resources `json:"capacity"`
+}
+
+// TaskState is the state of an attempt at a worker.
+type TaskState string
+
+// States of an attempt at a worker.
+const (
+	TaskRunning TaskState = "running"
+	TaskEnded   TaskState = "ended"
+)
+
+// TaskSpec is what a worker needs to start an attempt.
+type TaskSpec struct {
+	Attempt     AttemptID `json:"attempt" cbor:"1,keyasint"`
+	Coordinator EntryRef  `json:"coordinator" cbor:"2,keyasint"`
+	Team        string    `json:"team" cbor:"3,keyasint"`
+	Class       string    `json:"class" cbor:"4,keyasint"`
+	Kind        Kind      `json:"kind" cbor:"5,keyasint"`
+	Idempotent  bool      `json:"idempotent" cbor:"6,keyasint,omitempty"`
+	Resources   Resources `json:"resources" cbor:"7,keyasint"`
+	RunTimeMS   int64     `json:"run_time_ms,omitempty" cbor:"8,keyasint,omitempty"`
+	Payload     []byte    `json:"payload,omitempty" cbor:"9,keyasint,omitempty"`
+}
+
+// TaskReport is a worker's word on one attempt. Payload is not repeated.
+type TaskReport struct {
+	Spec    TaskSpec  `json:"spec" cbor:"1,keyasint"`
+	State   TaskState `json:"state" cbor:"2,keyasint"`
+	Outcome Outcome   `json:"outcome,omitempty" cbor:"3,keyasint,omitempty"` // completed or failed when ended
+	Error   string    `json:"error,omitempty" cbor:"4,keyasint,omitempty"`
+	Used    Resources `json:"used" cbor:"5,keyasint"` // lagging measured use while running
+	// Length and Checksum (xxhash64) describe the whole answer of an ended attempt.
+	Length   int64  `json:"length,omitempty" cbor:"6,keyasint,omitempty"`
+	Checksum uint64 `json:"checksum,omitempty" cbor:"7,keyasint,omitempty"`
+	// Body is the answer when it is short enough to be sent inline.
+	Body []byte `json:"body,omitempty" cbor:"8,keyasint,omitempty"`
+}
+
+// Grant is a worker's answer to a lease request. The listing and the grant are
+// one atomic step at the worker.
+type Grant struct {
+	Worker   string       `json:"worker"`
+	Epoch    uint64       `json:"epoch"`
+	Boot     uint64       `json:"boot"` // new on every start of the worker
+	Capacity Resources    `json:"capacity"`
+	Tasks    []TaskReport `json:"tasks"`
+}
