--- /dev/null
+++ b/internal/peer/reassembly.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// transfer is a long message that has arrived in part.
+type transfer struct {
+	data     []byte
+	total    uint64
+	checksum uint64
+}
+
+// reassembler puts chunks of one bulk connection together. Chunks of one
+// message arrive in order, because a connection keeps the order; any other
+// offset is an error of the sender.
+type reassembler struct {
+	transfers map[uint64]*transfer
+	reserved  uint64 // sum of the totals of transfers, in bytes
+}
+
+// firstAllocation bounds the memory that a claimed total alone can take.
+const firstAllocation = 256 << 10
+
+// add takes one chunk and returns the whole frame when the message is complete.
+func (r *reassembler) add(c chunk) ([]byte, error) {
+	if len(c.Data) == 0 {
+		return nil, fmt.Errorf("chunk of transfer %d is empty", c.ID)
+	}
+	t, ok := r.transfers[c.ID]
+	if !ok {
+		var err error
+		if t, err = r.begin(c); err != nil {
+			return nil, err
+		}
+	}
+	if err := t.extend(c); err != nil {
+		return nil, err
+	}
+	if uint64(len(t.data)) < t.total {
+		return nil, nil
+	}
+	delete(r.transfers, c.ID)
+	r.reserved -= t.total
+	if got := xxhash.Sum64(t.data); got != t.checksum {
+		return nil, fmt.Errorf("transfer %d has checksum %x instead of %x", c.ID, got, t.checksum)
+	}
+	return t.data, nil
+}
+
+func (r *reassembler) begin(c chunk) (*transfer, error) {
+	switch {
+	case c.Offset != 0:
+		return nil, fmt.Errorf("transfer %d begins at offset %d", c.ID, c.Offset)
+	case c.Total > maxFrameBytes:
+		return nil, fmt.Errorf("transfer %d has %d bytes, more than %d", c.ID, c.Total, maxFrameBytes)
+	case len(r.transfers) >= maxTransfers:
+		return nil, fmt.Errorf("more than %d transfers at once", maxTransfers)
+	case r.reserved+c.Total > reassemblyBytes:
+		return nil, fmt.Errorf("transfers need more than %d bytes", reassemblyBytes)
+	}
+	t := &transfer{total: c.Total, checksum: c.Checksum}
+	if r.transfers == nil {
+		r.transfers = map[uint64]*transfer{}
+	}
+	r.transfers[c.ID] = t
+	r.reserved += c.Total
+	return t, nil
+}
+
+func (t *transfer) extend(c chunk) error {
+	have, more := uint64(len(t.data)), uint64(len(c.Data))
+	switch {
+	case c.Total != t.total || c.Checksum != t.checksum:
+		return fmt.Errorf("transfer %d changed its length or checksum", c.ID)
+	case c.Offset != have:
+		return fmt.Errorf("transfer %d has a chunk at offset %d instead of %d", c.ID, c.Offset, have)
+	case more > t.total-have:
+		return fmt.Errorf("transfer %d is longer than %d bytes", c.ID, t.total)
+	}
+	t.reserve(have + more)
+	t.data = append(t.data, c.Data...)
+	return nil
+}
+
+// reserve grows the buffer by doubling, never beyond the total.
+func (t *transfer) reserve(need uint64) {
+	if need <= uint64(cap(t.data)) {
+		return
+	}
+	size := min(max(need, 2*uint64(cap(t.data)), firstAllocation), t.total)
+	grown := make([]byte, len(t.data), size)
+	copy(grown, t.data)
+	t.data = grown
+}
