Add the callers' API, its client and fulmarlatch-call

Cause: callers need one answer per job whose status code, outcome and remedy agree, and a client that never submits twice.

The upstream's JSON answer is spliced into the response unchanged, because encoding/json rewrites white space. The HTTP client of fasthttp is limited to repeating GETs, and only a submission whose connection could not be opened is reported as not_run. A refused status or cancel request has outcome unknown, because it proves nothing about the job.

Ruled out: minting an id for a job without one in the server (it would hide that the caller cannot ask for the outcome), and decompressing bodies (it would get around the bound on the body).

--- /dev/null
+++ b/cmd/fulmarlatch-call/main_test.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/caller"
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/fulmarlatch/fulmarlatch/internal/message"
+	"gotest.tools/v3/assert"
+)
+
+// backend answers with the outcome that the class names.
+type backend struct{}
+
+func (backend) Do(_ context.Context, operation message.Operation, job api.Job) (api.Answer, error) {
+	if operation != message.OpSubmit {
+		job.Class = job.ID
+	}
+	a := api.Answer{JobID: job.ID, Outcome: api.Outcome(job.Class), Body: []byte(`"` + string(operation) + job.Key + `"`)}
+	if a.Outcome == api.OutcomeNotRun {
+		a.Error = fault.New(fault.NoCapacity, "no room", "try later")
+	}
+	return a, nil
+}
+func (backend) MintID() (string, error)        { return "entry.1.7", nil }
+func (backend) Authorize(string, string) error { return nil }
+
+// TestRun guards the exit codes and the output of every command.
+func TestRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := caller.NewServer(caller.Config{Backend: backend{}})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	file := filepath.Join(t.TempDir(), "job.json")
+	assert.NilError(t, os.WriteFile(file, []byte(`{"class":"completed","kind":"request"}`), 0o600))
+	for _, c := range []struct {
+		args   string
+		code   int
+		stdout string // whole for text output, a part for JSON
+		stderr string // a part
+	}{
+		{"submit --class completed", exitOK, `"submit"`, "outcome=completed"},
+		{"submit --class accepted --kind batch --key k", exitOK, `"submitk"`, "outcome=accepted"},
+		{"submit --class completed --mint", exitOK, `"submit"`, "job_id=entry.1.7"},
+		{"submit --file " + file, exitOK, `"submit"`, "outcome=completed"},
+		{"submit --file -", exitFailed, `"submit"`, "outcome=failed"},
+		{"submit --class not_run", exitNotRun, `"submit"`, "try later"},
+		{"status failed", exitFailed, `"status"`, "outcome=failed"},
+		{"wait unknown", exitUnknown, `"wait"`, "outcome=unknown"},
+		{"cancel not_run --output json", exitNotRun, `"answer":"cancel"}`, ""},
+		{"submit", exitWrongInput, "", "field class"},
+		{"submit --class c --payload {", exitWrongInput, "", "not JSON"},
+		{"submit --class c --file " + file, exitWrongInput, "", "--file comes with"},
+		{"submit --class c --mint --id x", exitWrongInput, "", "has an id already"},
+		{"status", exitWrongInput, "", "expected"},
+		{"submit --file /does/not/exist", exitWrongInput, "", "no such file"},
+		{"status x --server ftp://x", exitWrongInput, "", "is no URL"},
+		{"status x --server http://127.0.0.1:1", exitUnknown, "", "no answer"},
+		{"submit --class c --server http://127.0.0.1:1", exitNotRun, "", "no answer"},
+	} {
+		var stdout, stderr bytes.Buffer
+		args := strings.Fields("--token s --team t --server http://" + listener.Addr().String() + " " + c.args)
+		code := run(args, strings.NewReader(`{"class":"failed","kind":"request"}`), &stdout, &stderr)
+		assert.Equal(t, code, c.code, "%s: %s", c.args, stderr.String())
+		assert.Assert(t, strings.Contains(stderr.String(), c.stderr), stderr.String())
+		if strings.Contains(c.args, "json") {
+			assert.Assert(t, strings.Contains(stdout.String(), c.stdout), stdout.String())
+		} else {
+			assert.Equal(t, stdout.String(), c.stdout, c.args)
+		}
+	}
+	assert.NilError(t, server.Shutdown(context.Background()))
+	assert.NilError(t, <-served)
+}
--- /dev/null
+++ b/internal/caller/answer.go
@@ -0,0 +1,148 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"unicode/utf8"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/gofiber/fiber/v3"
+)
+
+// envelope is the JSON form of api.Answer.
+type envelope struct {
+	JobID        string          `json:"job_id,omitempty"`
+	Outcome      api.Outcome     `json:"outcome"`
+	Error        *fault.Error    `json:"error,omitempty"`
+	WaitMS       int64           `json:"wait_ms"`
+	Tasks        *api.TaskCounts `json:"tasks,omitempty"`
+	AnswerBase64 []byte          `json:"answer_base64,omitempty"`
+	// Answer is spliced in by EncodeAnswer, because encoding/json would change
+	// the white space of the upstream's answer.
+	Answer json.RawMessage `json:"answer,omitempty"`
+}
+
+// EncodeAnswer returns the JSON form of an answer. A body that is JSON keeps
+// every byte.
+func EncodeAnswer(a api.Answer) ([]byte, error) {
+	e := envelope{JobID: a.JobID, Outcome: a.Outcome, Error: a.Error, WaitMS: a.WaitMS, Tasks: a.Tasks}
+	raw := isPlainJSON(a.Body)
+	if !raw {
+		e.AnswerBase64 = a.Body
+	}
+	encoded, err := json.Marshal(e)
+	if err != nil || !raw {
+		return encoded, err
+	}
+	const field = `,"answer":`
+	whole := make([]byte, 0, len(encoded)+len(field)+len(a.Body))
+	whole = append(whole, encoded[:len(encoded)-1]...)
+	whole = append(whole, field...)
+	whole = append(whole, a.Body...)
+	return append(whole, '}'), nil
+}
+
+// isPlainJSON reports whether body survives as a JSON value inside an object:
+// white space around it would be lost.
+func isPlainJSON(body []byte) bool {
+	return len(body) > 0 && len(bytes.TrimSpace(body)) == len(body) && utf8.Valid(body) && json.Valid(body)
+}
+
+// DecodeAnswer is the reverse of EncodeAnswer.
+func DecodeAnswer(data []byte) (api.Answer, error) {
+	var e envelope
+	if err := json.Unmarshal(data, &e); err != nil {
+		return api.Answer{}, err
+	}
+	if !isOutcome(e.Outcome) {
+		return api.Answer{}, fmt.Errorf("outcome %q is unknown", e.Outcome)
+	}
+	a := api.Answer{JobID: e.JobID, Outcome: e.Outcome, Error: e.Error, WaitMS: e.WaitMS, Tasks: e.Tasks}
+	a.Body = e.AnswerBase64
+	if len(e.Answer) > 0 {
+		a.Body = e.Answer
+	}
+	return a, nil
+}
+
+func isOutcome(o api.Outcome) bool {
+	switch o {
+	case api.OutcomeAccepted, api.OutcomeCompleted, api.OutcomeFailed, api.OutcomeNotRun, api.OutcomeUnknown:
+		return true
+	}
+	return false
+}
+
+// Status returns the HTTP status of an answer; the package comment has the table.
+func Status(a api.Answer) int {
+	switch a.Outcome {
+	case api.OutcomeCompleted:
+		return fiber.StatusOK
+	case api.OutcomeAccepted:
+		return fiber.StatusAccepted
+	case api.OutcomeFailed:
+		return fiber.StatusBadGateway
+	case api.OutcomeNotRun:
+		return notRunStatus(kindOf(a))
+	default:
+		return unknownStatus(kindOf(a))
+	}
+}
+
+func kindOf(a api.Answer) fault.Kind {
+	if a.Error == nil {
+		return fault.Internal
+	}
+	return a.Error.Kind
+}
+
+// refusedStatus returns the status of a request that was wrong in itself, or 0.
+func refusedStatus(kind fault.Kind) int {
+	switch kind {
+	case fault.Invalid:
+		return fiber.StatusBadRequest
+	case fault.Unauthorized:
+		return fiber.StatusUnauthorized
+	case fault.NotFound:
+		return fiber.StatusNotFound
+	case fault.Conflict:
+		return fiber.StatusConflict
+	case fault.QueueFull:
+		return fiber.StatusTooManyRequests
+	}
+	return 0
+}
+
+func notRunStatus(kind fault.Kind) int {
+	switch kind {
+	case fault.NeverFits:
+		return fiber.StatusUnprocessableEntity
+	case fault.QuotaExceeded:
+		return fiber.StatusTooManyRequests
+	}
+	if status := refusedStatus(kind); status != 0 {
+		return status
+	}
+	return fiber.StatusServiceUnavailable
+}
+
+func unknownStatus(kind fault.Kind) int {
+	if status := refusedStatus(kind); status != 0 {
+		return status
+	}
+	return fiber.StatusGatewayTimeout
+}
+
+// retryAfterSeconds returns the value of Retry-After in seconds, rounded up so
+// that a caller does not come too early; 0 for no header.
+func retryAfterSeconds(status int, e *fault.Error) int64 {
+	if e != nil && e.RetryAfterMS > 0 {
+		return (e.RetryAfterMS + 999) / 1000
+	}
+	if status == fiber.StatusTooManyRequests {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/caller/client.go
@@ -0,0 +1,189 @@
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// maxResponseBytes has room for the longest answer in base64.
+	maxResponseBytes = 64 << 20
+	dialTimeout      = 5 * time.Second
+	// clientIdle is shorter than the server's idle time, so that the client
+	// closes an idle connection first and no request meets a closing one.
+	clientIdle = 30 * time.Second
+	// clientTimeout bounds a call whose context has no deadline.
+	clientTimeout = maxAnswerTime + time.Minute
+	// getAttempts is how often a GET is tried when its connection breaks.
+	getAttempts = 2
+)
+
+var errDial = errors.New("no connection")
+
+// Client calls the API of one server. Its methods may be called concurrently.
+// They observe the deadline of the context, not its cancellation.
+type Client struct {
+	http  *fasthttp.HostClient
+	base  string
+	token string
+	team  string
+}
+
+// NewClient returns a client for a server such as http://host:port, acting for
+// a team with its token. The error is a *fault.Error of kind Invalid.
+func NewClient(server, token, team string) (*Client, error) {
+	u, err := url.Parse(server)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, fault.New(fault.Invalid, fmt.Sprintf("server %q is no URL", server), "use http://host:port")
+	}
+	isTLS := u.Scheme == "https"
+	return &Client{
+		http: &fasthttp.HostClient{
+			Addr:                      fasthttp.AddMissingPort(u.Host, isTLS),
+			IsTLS:                     isTLS,
+			TLSConfig:                 &tls.Config{MinVersion: tls.VersionTLS12},
+			Dial:                      dial,
+			MaxIdleConnDuration:       clientIdle,
+			MaxIdemponentCallAttempts: getAttempts,
+			MaxResponseBodySize:       maxResponseBytes,
+			RetryIfErr:                retryGet,
+		},
+		base:  u.Scheme + "://" + u.Host,
+		token: token,
+		team:  team,
+	}, nil
+}
+
+func dial(address string) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errDial, err)
+	}
+	return conn, nil
+}
+
+// retryGet allows a second attempt only where repeating changes nothing.
+func retryGet(request *fasthttp.Request, _ int, _ error) (resetTimeout, retry bool) {
+	return false, request.Header.IsGet()
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Mint returns a new job id. The error is a *fault.Error.
+func (c *Client) Mint(ctx context.Context) (string, error) {
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	if err := c.call(ctx, fasthttp.MethodPost, "/v1/ids?"+c.query().Encode(), nil, response); err != nil {
+		return "", unreachable(err)
+	}
+	var minted mintedID
+	if response.StatusCode() == fasthttp.StatusOK && json.Unmarshal(response.Body(), &minted) == nil && minted.JobID != "" {
+		return minted.JobID, nil
+	}
+	answer, err := DecodeAnswer(response.Body())
+	if err != nil || answer.Error == nil {
+		return "", notUnderstood(response.StatusCode(), err)
+	}
+	return "", answer.Error
+}
+
+// Submit submits a job and returns its answer. If the connection breaks, the
+// outcome is unknown; if there never was one, it is not_run. A job that fails
+// its check is not sent. An empty team is replaced by the client's.
+func (c *Client) Submit(ctx context.Context, job api.Job) api.Answer {
+	if err := job.Check(); err != nil {
+		return api.Refuse(job.ID, err)
+	}
+	if job.Team == "" {
+		job.Team = c.team
+	}
+	body, err := json.Marshal(job)
+	if err != nil {
+		return api.Refuse(job.ID, fault.Wrap(fault.Invalid, err, "the job cannot be encoded", "check that the payload is JSON"))
+	}
+	return c.answer(ctx, fasthttp.MethodPost, "/v1/jobs", job.ID, body)
+}
+
+// Status returns the present state of a job.
+func (c *Client) Status(ctx context.Context, id string) api.Answer {
+	return c.answer(ctx, fasthttp.MethodGet, c.jobPath(id, c.query()), id, nil)
+}
+
+// Wait waits for the end of a job, at most for the given time or the server's
+// limit. A wait that ends earlier than the job has outcome unknown.
+func (c *Client) Wait(ctx context.Context, id string, wait time.Duration) api.Answer {
+	query := c.query()
+	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	return c.answer(ctx, fasthttp.MethodGet, c.jobPath(id, query), id, nil)
+}
+
+// Cancel cancels a job.
+func (c *Client) Cancel(ctx context.Context, id string) api.Answer {
+	return c.answer(ctx, fasthttp.MethodDelete, c.jobPath(id, c.query()), id, nil)
+}
+
+func (c *Client) query() url.Values { return url.Values{"team": {c.team}} }
+
+func (c *Client) jobPath(id string, query url.Values) string {
+	return "/v1/jobs/" + url.PathEscape(id) + "?" + query.Encode()
+}
+
+func (c *Client) answer(ctx context.Context, method, path, id string, body []byte) api.Answer {
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	err := c.call(ctx, method, path, body, response)
+	switch {
+	case err != nil && method == fasthttp.MethodPost && neverSent(err):
+		return api.Refuse(id, unreachable(err))
+	case err != nil:
+		return undecided(id, unreachable(err))
+	}
+	answer, err := DecodeAnswer(response.Body())
+	if err != nil {
+		return undecided(id, notUnderstood(response.StatusCode(), err))
+	}
+	return answer
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, response *fasthttp.Response) error {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.SetRequestURI(c.base + path)
+	request.Header.SetMethod(method)
+	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.token)
+	if body != nil {
+		request.Header.SetContentType("application/json")
+		request.SetBodyRaw(body)
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(clientTimeout)
+	}
+	return c.http.DoDeadline(request, response, deadline)
+}
+
+// neverSent reports whether no byte of the request can have left the process.
+func neverSent(err error) bool {
+	return errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns)
+}
+
+func unreachable(err error) *fault.Error {
+	return fault.Wrap(fault.Unavailable, err, "the server gave no answer", "check the address and ask the status with the id")
+}
+
+func notUnderstood(status int, err error) *fault.Error {
+	return fault.Wrap(fault.Unavailable, err, fmt.Sprintf("the response with status %d is not from fulmarlatch", status),
+		"check the address and ask the status with the id")
+}
--- /dev/null
+++ b/internal/caller/server_test.go
@@ -0,0 +1,290 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/fulmarlatch/fulmarlatch/internal/message"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) {
+	// fasthttp refreshes its Date header for the life of the process, and its
+	// cleaners of workers and connections end only after a sleep of 10 s.
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+type doFunc func(ctx context.Context, operation message.Operation, job api.Job) (api.Answer, error)
+
+func (f doFunc) Do(ctx context.Context, operation message.Operation, job api.Job) (api.Answer, error) {
+	return f(ctx, operation, job)
+}
+func (doFunc) MintID() (string, error) { return "entry.1.1", nil }
+func (doFunc) Authorize(token, team string) error {
+	if token != "secret" || team != "team" {
+		return fault.New(fault.Unauthorized, "the token is wrong", "use the token of the team")
+	}
+	return nil
+}
+
+// serve runs a server and returns its URL and a client. Shutdown at the end of
+// the test has to succeed.
+func serve(t *testing.T, cfg Config) (string, *Client, *Server) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := NewServer(cfg)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(listener) }()
+	address := "http://" + listener.Addr().String()
+	c, err := NewClient(address, "secret", "team")
+	assert.NilError(t, err)
+	_, err = c.Mint(context.Background()) // the server is ready
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		c.Close()
+		http.DefaultClient.CloseIdleConnections()
+		assert.Check(t, s.Shutdown(context.Background()))
+		assert.Check(t, <-served)
+	})
+	return address, c, s
+}
+
+func echo(_ context.Context, operation message.Operation, job api.Job) (api.Answer, error) {
+	return api.Answer{JobID: job.ID, Outcome: api.OutcomeCompleted, Body: []byte(`"` + string(operation) + job.Key + `"`)}, nil
+}
+
+// request sends a raw request and returns the status, a header and the body.
+func request(t *testing.T, method, url, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	r.Header.Set("Authorization", "Bearer secret")
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response, string(text)
+}
+
+var job = api.Job{ID: "entry.1.1", Class: "quick", Kind: api.KindRequest, Tasks: 1}
+
+const jobJSON = `{"team":"team","class":"quick","kind":"request"}`
+
+// TestOperations guards against operations that reach the backend as others.
+func TestOperations(t *testing.T) {
+	address, c, _ := serve(t, Config{Backend: doFunc(echo)})
+	ctx := context.Background()
+	for want, a := range map[string]api.Answer{
+		`"submit"`: c.Submit(ctx, job),
+		`"status"`: c.Status(ctx, "entry.1.1"),
+		`"wait"`:   c.Wait(ctx, "entry.1.1", time.Second),
+		`"cancel"`: c.Cancel(ctx, "entry.1.1"),
+	} {
+		assert.DeepEqual(t, a, api.Answer{JobID: "entry.1.1", Outcome: api.OutcomeCompleted, Body: []byte(want)})
+	}
+	_, body := request(t, "POST", address+"/v1/jobs", jobJSON, "Idempotency-Key", "k1")
+	assert.Equal(t, body, `{"outcome":"completed","wait_ms":0,"answer":"submitk1"}`)
+}
+
+// TestRefusals guards against malformed and oversized input and wrong tokens
+// that reach the backend, and against refusals that claim too much.
+func TestRefusals(t *testing.T) {
+	backend := func(context.Context, message.Operation, api.Job) (api.Answer, error) {
+		t.Error("the backend was reached")
+		return api.Answer{}, nil
+	}
+	address, _, _ := serve(t, Config{Backend: doFunc(backend)})
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		want               string
+		headers            []string
+	}{
+		{"POST", "/v1/jobs", `{"clas":1}`, 400, `field \"clas\" is unknown`, nil},
+		{"POST", "/v1/jobs", `{"team":"team","class":"c","kind":"x"}`, 400, "field kind", nil},
+		{"POST", "/v1/jobs", `{"team":"team","key":"a"}`, 400, "Idempotency-Key differs", []string{"Idempotency-Key", "b"}},
+		{"POST", "/v1/jobs", jobJSON, 401, `"not_run"`, []string{"Authorization", "Bearer wrong"}},
+		{"POST", "/v1/jobs", jobJSON, 401, "bearer token", []string{"Authorization", "secret"}},
+		{"POST", "/v1/ids?team=other", "", 401, `"unauthorized"`, nil},
+		{"GET", "/v1/jobs/j?team=team&wait_ms=-1", "", 400, "wait_ms", nil},
+		{"GET", "/v1/jobs/j", "", 401, `"unknown"`, nil},
+		{"DELETE", "/v1/jobs/j?team=other", "", 401, `"unknown"`, nil},
+		{"GET", "/v2", "", 404, `"not_found"`, nil},
+		{"PUT", "/v1/jobs", "", 405, `"invalid"`, nil},
+	} {
+		response, body := request(t, c.method, address+c.path, c.body, c.headers...)
+		assert.Equal(t, response.StatusCode, c.status, "%s %s: %s", c.method, c.path, body)
+		assert.Assert(t, strings.Contains(body, c.want), body)
+	}
+}
+
+// TestOversized guards against reading a body or headers without bound. No byte
+// is sent beyond what the server reads before it refuses the request, because a
+// reset of the connection would race with the response.
+func TestOversized(t *testing.T) {
+	address, _, _ := serve(t, Config{Backend: doFunc(echo)})
+	start := "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: "
+	for text, status := range map[string]int{
+		start + strconv.Itoa(DefaultMaxBodyBytes+1) + "\r\n\r\n":      413,
+		start + strings.Repeat("0", DefaultMaxHeaderBytes-len(start)): 431,
+	} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(address, "http://"))
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, text)
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, status, string(body))
+		assert.Assert(t, strings.Contains(string(body), `"kind":"invalid"`), string(body))
+		assert.NilError(t, conn.Close())
+	}
+}
+
+// TestRetryAfter guards against callers that are told to come back too early.
+func TestRetryAfter(t *testing.T) {
+	for ms, want := range map[int64]string{0: "1", 1: "1", 1000: "1", 1001: "2"} {
+		backend := func(context.Context, message.Operation, api.Job) (api.Answer, error) {
+			e := fault.New(fault.QuotaExceeded, "m", "r")
+			e.RetryAfterMS = ms
+			return api.Refuse("j", e), nil
+		}
+		address, _, _ := serve(t, Config{Backend: doFunc(backend)})
+		response, _ := request(t, "POST", address+"/v1/jobs", jobJSON)
+		assert.Equal(t, response.StatusCode, 429)
+		assert.Equal(t, response.Header.Get("Retry-After"), want)
+	}
+}
+
+// TestWaitEnds guards against a wait without an end, and against an outcome
+// that was not proved.
+func TestWaitEnds(t *testing.T) {
+	backend := func(ctx context.Context, _ message.Operation, _ api.Job) (api.Answer, error) {
+		<-ctx.Done()
+		return api.Answer{}, ctx.Err()
+	}
+	_, c, _ := serve(t, Config{Backend: doFunc(backend), AnswerBound: time.Millisecond, Deadline: time.Millisecond})
+	for _, a := range []api.Answer{
+		c.Submit(context.Background(), job),
+		c.Wait(context.Background(), job.ID, time.Millisecond),
+	} {
+		assert.Equal(t, a.Outcome, api.OutcomeUnknown)
+		assert.Equal(t, a.Error.Kind, fault.Unavailable)
+		assert.Assert(t, strings.Contains(a.Error.Remedy, "/v1/jobs/entry.1.1"))
+	}
+}
+
+// held is a backend that answers when it is released.
+type held struct {
+	doFunc
+	entered chan struct{}
+	release chan struct{}
+}
+
+func newHeld() *held {
+	h := &held{entered: make(chan struct{}, 1), release: make(chan struct{})}
+	h.doFunc = func(ctx context.Context, operation message.Operation, job api.Job) (api.Answer, error) {
+		h.entered <- struct{}{}
+		select {
+		case <-h.release:
+			return echo(ctx, operation, job)
+		case <-ctx.Done():
+			return api.Answer{}, ctx.Err()
+		}
+	}
+	return h
+}
+
+// TestMaxWaiting guards against waiting requests without bound.
+func TestMaxWaiting(t *testing.T) {
+	h := newHeld()
+	_, c, _ := serve(t, Config{Backend: h, MaxWaiting: 1})
+	first := make(chan api.Answer, 1)
+	go func() { first <- c.Submit(context.Background(), job) }()
+	<-h.entered
+	second := c.Submit(context.Background(), job)
+	assert.Equal(t, second.Outcome, api.OutcomeNotRun)
+	assert.Equal(t, second.Error.Kind, fault.QueueFull)
+	assert.Equal(t, c.Status(context.Background(), job.ID).Outcome, api.OutcomeUnknown)
+	close(h.release)
+	assert.Equal(t, (<-first).Outcome, api.OutcomeCompleted)
+}
+
+// TestShutdown guards against a graceful shutdown that interrupts a request,
+// and against one that waits for ever.
+func TestShutdown(t *testing.T) {
+	for _, graceful := range []bool{true, false} {
+		h := newHeld()
+		_, c, s := serve(t, Config{Backend: h})
+		answer := make(chan api.Answer, 1)
+		go func() { answer <- c.Submit(context.Background(), job) }()
+		<-h.entered
+		ctx, cancel := context.WithCancel(context.Background())
+		stopped := make(chan error, 1)
+		go func() { stopped <- s.Shutdown(ctx) }()
+		if graceful {
+			// Wait until new connections are refused.
+			for !neverSent(c.call(context.Background(), "GET", "/", nil, nil)) {
+				time.Sleep(time.Millisecond)
+			}
+			close(h.release)
+			assert.Equal(t, (<-answer).Outcome, api.OutcomeCompleted)
+			assert.NilError(t, <-stopped)
+		} else {
+			cancel()
+			assert.Equal(t, (<-answer).Outcome, api.OutcomeUnknown)
+			assert.ErrorIs(t, <-stopped, context.Canceled)
+		}
+		cancel()
+	}
+}
+
+// TestClientRetries guards against a submission that the client sends twice.
+func TestClientRetries(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	var requests atomic.Int64
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		requests.Add(1)
+		panic(http.ErrAbortHandler)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	c, err := NewClient("http://"+listener.Addr().String(), "secret", "team")
+	assert.NilError(t, err)
+	ctx := context.Background()
+	for _, call := range []struct {
+		answer func() api.Answer
+		want   int64
+	}{
+		{func() api.Answer { return c.Submit(ctx, job) }, 1},
+		{func() api.Answer { return c.Cancel(ctx, job.ID) }, 1},
+		{func() api.Answer { return c.Status(ctx, job.ID) }, getAttempts},
+	} {
+		requests.Store(0)
+		assert.Equal(t, call.answer().Outcome, api.OutcomeUnknown)
+		assert.Equal(t, requests.Load(), call.want)
+	}
+	assert.NilError(t, server.Close())
+	assert.Equal(t, c.Submit(ctx, job).Outcome, api.OutcomeNotRun)
+	assert.Equal(t, c.Cancel(ctx, job.ID).Outcome, api.OutcomeUnknown)
+}
