Crash on a panic in a link instead of hiding it

Cause: conc keeps a panic until Wait, so a panic in the handler left the link's other goroutines running, and the process worked on without the peer's messages.

Now the end of any goroutine ends the link, and the panic is raised again at once. Ruled out: restarting the link, which would hide a defect of the owner.

--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -49,7 +49,7 @@
 		m.mu.Unlock()
 		return
 	}
-	m.group.Go(func() {
+	m.spawnLocked(func() {
 		defer close(done)
 		if err := m.acceptWire(ws); err != nil {
 			m.cfg.Logger.Warn("connection refused", zap.String("address", ws.RemoteAddr().String()), zap.Error(err))
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -23,6 +23,7 @@
 	errSilent    = errors.New("no heartbeat arrived in time")
 	errUnheard   = errors.New("no own heartbeat was echoed in time")
 	errBulkStall = errors.New("the bulk connection makes no progress")
+	errEnded     = errors.New("a goroutine of the link ended")
 )
 
 // link is one pair of connections to one incarnation of a peer.
@@ -101,13 +102,16 @@
 	l.mesh.handler.PeerDown(l.ref, l.cause)
 }
 
+// serve runs the goroutines of the link until all have ended. Whichever ends
+// first ends the others; a panic in one is raised again by Wait.
 func (l *link) serve() {
 	var group conc.WaitGroup
-	group.Go(l.readUrgent)
-	group.Go(l.readBulk)
-	group.Go(l.writeUrgent)
-	group.Go(l.writeBulk)
-	group.Go(l.monitor)
+	for _, f := range []func(){l.readUrgent, l.readBulk, l.writeUrgent, l.writeBulk, l.monitor} {
+		group.Go(func() {
+			defer l.fail(errEnded)
+			f()
+		})
+	}
 	group.Wait()
 }
 
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -99,10 +99,24 @@
 	delete(m.retired, name)
 	m.slots[name] = s
 	if m.cfg.Self.Name < name {
-		m.group.Go(s.dialLoop)
+		m.spawnLocked(s.dialLoop)
 	}
 }
 
+// spawnLocked runs f on a goroutine of the mesh. A panic, which can come from the
+// handler, crashes the process: conc would keep it until Close, and meanwhile
+// the process would work without the link.
+func (m *Mesh) spawnLocked(f func()) {
+	m.group.Go(func() {
+		defer func() {
+			if p := recover(); p != nil {
+				go panic(p)
+			}
+		}()
+		f()
+	})
+}
+
 func (m *Mesh) removeLocked(name string, s *slot) {
 	delete(m.slots, name)
 	if last := s.remove(errRemoved); last != nil {
