Test that a new incarnation waits for the old link's end

Cause: without the wait for the previous link, no test failed, because a restarted process closes its connections before the new one dials.

The test stops the old connections half-open first. Removing the wait, or the end of the old link, now fails it.

--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -190,6 +190,18 @@
 	}
 }
 
+// TestNewIncarnation guards against a restarted peer that is reported up before
+// its old link, which is silent but not yet found down, is reported down.
+func TestNewIncarnation(t *testing.T) {
+	a, b, r := pair(t, Config{})
+	r.stall(toTarget)
+	assert.NilError(t, a.Close())
+	next := start(t, "a", 2, loopback, Config{})
+	next.SetPeers(map[string]string{"b": b.address})
+	b.await(next.ref, "up", 1)
+	assert.Assert(t, errors.Is(b.await(a.ref, "down", 1)[0].err, errReplaced))
+}
+
 // TestOneWayStall guards against a link that only one side considers broken.
 func TestOneWayStall(t *testing.T) {
 	a, b, r := pair(t, Config{DownAfter: time.Second})
