Add the queue of waiting work

Cause: an entry process needs admission, an order among classes and teams, backfill and a retry budget before it can place work. Ruled out: strict priority (fails a flood of the most urgent class); fair share by current use alone (ignores weights when each team has few tasks); a heap of postponed items per size, with a retry of each (too many failed placements when the cell is full; items are grouped by shape instead, and one failure stands for the shape); an endless guard of a wide item (an item that no worker can hold would stop its class; the guard pauses and doubles).

--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,268 @@
+package queue
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/bundle"
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+)
+
+func task(id, team, class string, size int64) Item {
+	return Item{Key: Key{id, 0}, Team: team, Class: class, Kind: api.KindBatch, Resources: slots(size), Tasks: 1, Submitted: epoch}
+}
+
+func request(id, team, class string, size int64) Item {
+	it := task(id, team, class, size)
+	it.Kind = api.KindRequest
+	return it
+}
+
+func offer(t *testing.T, q *Queue, items ...Item) {
+	for _, it := range items {
+		assert.NilError(t, q.Offer(epoch, it))
+	}
+}
+
+// drainIDs starts everything that Next hands out and returns the job ids.
+func drainIDs(q *Queue, now time.Time) (ids []string) {
+	for it, ok := q.Next(now); ok; it, ok = q.Next(now) {
+		q.Started(now, it)
+		ids = append(ids, it.Key.JobID)
+	}
+	return ids
+}
+
+// TestOfferRefuses guards against work that is admitted though it cannot be
+// served, and against refusals without remedy or advised pause.
+func TestOfferRefuses(t *testing.T) {
+	classes := []bundle.Class{{Name: "a", QueueBound: 3}, {Name: "b", Rank: 1, QueueBound: 9, Kinds: []api.Kind{api.KindRequest}}}
+	late := request("late", "x", "a", 1)
+	late.Deadline = epoch
+	elsewhere := func(q *Queue) { q.SetUseElsewhere(map[string]api.Resources{"small": slots(8)}) }
+	here := func(q *Queue) { q.Started(epoch, task("r", "small", "a", 4)) }
+	full := func(q *Queue) { offer(t, q, task("1", "x", "a", 1), task("2", "x", "a", 1)) }
+	for _, c := range []struct {
+		name  string
+		setup func(q *Queue)
+		item  Item
+		kind  fault.Kind
+		retry bool
+	}{
+		{"unknown class", nil, task("i", "x", "none", 1), fault.Invalid, false},
+		{"unknown team", nil, task("i", "none", "a", 1), fault.Invalid, false},
+		{"kind not taken", nil, task("i", "x", "b", 1), fault.Invalid, false},
+		{"negative amount", nil, task("i", "x", "a", -1), fault.Invalid, false},
+		{"no tasks", nil, Item{Team: "x", Class: "a"}, fault.Invalid, false},
+		{"duplicate", nil, task("0", "x", "a", 1), fault.Conflict, false},
+		{"never in quota", nil, task("i", "small", "a", 9), fault.QuotaExceeded, false},
+		{"deadline passed", nil, late, fault.TooLate, false},
+		{"quota in use elsewhere", elsewhere, request("i", "small", "a", 1), fault.QuotaExceeded, true},
+		{"quota in use here", here, request("i", "small", "a", 5), fault.QuotaExceeded, true},
+		{"bound", full, task("i", "x", "a", 1), fault.QueueFull, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := policy(10, classes)
+			q.SetPolicy(classes, append(teamsOf("x"), bundle.Team{Name: "small", Weight: 1, Quota: slots(8)}))
+			offer(t, q, task("0", "x", "a", 1))
+			if c.setup != nil {
+				c.setup(q)
+			}
+			before := q.Len()
+			var refusal *fault.Error
+			assert.Assert(t, errors.As(q.Offer(epoch, c.item), &refusal))
+			assert.Equal(t, refusal.Kind, c.kind)
+			assert.Assert(t, refusal.Remedy != "")
+			assert.Equal(t, refusal.RetryAfterMS > 0, c.retry)
+			assert.Equal(t, q.Len(), before)
+		})
+	}
+}
+
+// TestQuotaHoldsLoggedWork guards against logged work that is refused, or that
+// starts beyond the quota, while the quota is in use.
+func TestQuotaHoldsLoggedWork(t *testing.T) {
+	q := policy(100, nil)
+	q.SetPolicy([]bundle.Class{{Name: "a", QueueBound: 10}}, []bundle.Team{{Name: "x", Quota: slots(2)}, {Name: "y"}})
+	offer(t, q, task("1", "x", "a", 2), task("2", "x", "a", 1), task("3", "y", "a", 1))
+	assert.DeepEqual(t, drainIDs(q, epoch), []string{"1", "3"})
+	q.Finished(at(1), task("1", "x", "a", 2), time.Second)
+	assert.DeepEqual(t, drainIDs(q, at(1)), []string{"2"})
+}
+
+// TestTooLate guards against an estimate from idle time, which would refuse a
+// burst that the class can serve, and against queueing work that expires.
+func TestTooLate(t *testing.T) {
+	q := policy(10, []bundle.Class{{Name: "a", QueueBound: 1000, DeadlineMS: 2000}}, "x")
+	number := 0
+	try := func(seconds float64) error {
+		number++
+		it := request(fmt.Sprint(number), "x", "a", 1)
+		it.Submitted = at(seconds)
+		return q.Offer(at(seconds), it)
+	}
+	for second := range 60 { // one start every second without any wait
+		assert.NilError(t, try(float64(second)))
+		drainIDs(q, at(float64(second)))
+	}
+	for range 200 {
+		assert.NilError(t, try(60))
+	}
+	for step := range 20 { // busy: 10 starts a second
+		it, _ := q.Next(at(60 + float64(step)/10))
+		q.Started(q.now, it)
+	}
+	assert.Equal(t, fault.KindOf(try(61.95)), fault.TooLate)
+	assert.Equal(t, q.Stats()[0].Refused[fault.TooLate], uint64(1))
+}
+
+// TestNextOrder guards the order of floors, classes, ceilings and items, and
+// shares that ignore what peers use.
+func TestNextOrder(t *testing.T) {
+	classes := []bundle.Class{{Name: "urgent", QueueBound: 9}, {Name: "floor", Rank: 5, QueueBound: 9, Floor: 0.2},
+		{Name: "ceiling", Rank: 1, QueueBound: 9, Ceiling: 0.2}}
+	for _, elsewhere := range []int64{0, 30} {
+		q := policy(10+elsewhere, classes, "x")
+		q.SetUseElsewhere(map[string]api.Resources{"x": slots(elsewhere)})
+		for i := range 3 {
+			for _, c := range classes {
+				offer(t, q, task(fmt.Sprint(c.Name, i), "x", c.Name, 1))
+			}
+		}
+		assert.DeepEqual(t, drainIDs(q, epoch),
+			[]string{"floor0", "floor1", "urgent0", "urgent1", "urgent2", "ceiling0", "ceiling1", "floor2"})
+	}
+}
+
+// TestFairShare guards against a team that gains by wide items or by a false
+// declared run time.
+func TestFairShare(t *testing.T) {
+	q := policy(100, nil)
+	q.SetPolicy([]bundle.Class{{Name: "a", QueueBound: 1 << 20}}, []bundle.Team{{Name: "x", Weight: 2}, {Name: "y", Weight: 1}})
+	for i := range 3000 {
+		y := task(fmt.Sprint("y", i), "y", "a", 3)
+		y.RunTime = time.Millisecond
+		offer(t, q, task(fmt.Sprint("x", i), "x", "a", 1), y)
+	}
+	ran := map[string]time.Duration{"x": time.Second, "y": 2 * time.Second}
+	work := map[string]float64{}
+	for range 2000 {
+		it, _ := q.Next(epoch)
+		q.Started(epoch, it)
+		q.Finished(epoch, it, ran[it.Team])
+		work[it.Team] += float64(it.Resources.Slots) * ran[it.Team].Seconds()
+	}
+	ratio := work["x"] / work["y"]
+	assert.Assert(t, ratio > 1.9 && ratio < 2.1, "ratio %v", ratio)
+}
+
+// TestPostpone guards against a wide item that blocks smaller ones, and against
+// handing out again what was just found not to fit.
+func TestPostpone(t *testing.T) {
+	q := policy(10, []bundle.Class{{Name: "a", QueueBound: 10}, {Name: "b", Rank: 1, QueueBound: 10}}, "x")
+	offer(t, q, task("1", "x", "a", 8), task("2", "x", "a", 8), task("3", "x", "a", 2), task("4", "x", "b", 9))
+	wide, _ := q.Next(epoch)
+	q.Postpone(epoch, wide, at(3))
+	assert.DeepEqual(t, drainIDs(q, epoch), []string{"3"})
+	assert.DeepEqual(t, drainIDs(q, at(3)), []string{"1", "2", "4"})
+}
+
+// TestGuardPauses guards against an item that can never fit and stops its
+// class for good.
+func TestGuardPauses(t *testing.T) {
+	q := policy(10, []bundle.Class{{Name: "a", QueueBound: 10}}, "x")
+	offer(t, q, task("never", "x", "a", 9), task("small", "x", "a", 1))
+	for _, step := range []struct {
+		after time.Duration
+		id    string
+	}{{0, "small"}, {ageBound, ""}, {ageBound + guardWindow, "small"}, {ageBound + 2*guardWindow, ""}} {
+		now := epoch.Add(step.after)
+		q.RoomFreed(now)
+		it, _ := q.Next(now)
+		assert.Equal(t, it.Key.JobID, "never")
+		q.Postpone(now, it, now.Add(time.Second))
+		it, ok := q.Next(now)
+		assert.Equal(t, it.Key.JobID, step.id)
+		if ok {
+			q.Requeue(now, it)
+		}
+	}
+}
+
+// TestExpire guards against expired work that is handed out, lost or returned
+// twice.
+func TestExpire(t *testing.T) {
+	q := policy(10, []bundle.Class{{Name: "a", QueueBound: 10}}, "x")
+	for i, deadline := range []float64{3, 1, 9} {
+		it := task(fmt.Sprint(i), "x", "a", 1)
+		it.Deadline = at(deadline)
+		offer(t, q, it)
+	}
+	assert.DeepEqual(t, drainIDs(q, at(5)), []string{"2"})
+	expired := q.Expire(at(5))
+	assert.Equal(t, len(expired), 2)
+	assert.Equal(t, expired[0].Key.JobID, "1")
+	assert.Equal(t, len(q.Expire(at(10))), 0)
+}
+
+// TestCancelWave guards against cancelled entries that keep memory.
+func TestCancelWave(t *testing.T) {
+	q, _ := benchQueue(100_000)
+	for i := range 99_999 {
+		assert.Assert(t, q.Cancel(Key{fmt.Sprint(i + 1), 0}))
+	}
+	assert.Assert(t, !q.Cancel(Key{"1", 0}))
+	assert.Equal(t, q.Len(), 1)
+	assert.Assert(t, len(q.deadlines.entries) <= compactMinimum)
+	assert.DeepEqual(t, drainIDs(q, epoch), []string{"100000"})
+}
+
+// TestAllowRetry guards against a retry storm.
+func TestAllowRetry(t *testing.T) {
+	q := policy(10, []bundle.Class{{Name: "a", QueueBound: 10, RetryBudget: 0.125}, {Name: "none", QueueBound: 10}}, "x")
+	allowed := func() (n int) {
+		for ; q.AllowRetry("a"); n++ {
+		}
+		return n
+	}
+	assert.Equal(t, allowed(), retryBurst)
+	for i := range 400 {
+		it := task(fmt.Sprint(i), "x", "a", 1)
+		it.Retry = i%2 == 1 // earns nothing
+		q.Started(epoch, it)
+	}
+	assert.Equal(t, allowed(), 25)
+	assert.Assert(t, !q.AllowRetry("none") && !q.AllowRetry("unknown"))
+}
+
+// TestSetPolicy guards against work that is lost when its class or team
+// vanishes, and against a roll that drops the rest.
+func TestSetPolicy(t *testing.T) {
+	a, b := bundle.Class{Name: "a", QueueBound: 10}, bundle.Class{Name: "b", QueueBound: 10}
+	q := policy(10, []bundle.Class{a, b}, "x", "y")
+	offer(t, q, task("1", "x", "b", 1), task("2", "x", "a", 1), task("3", "y", "a", 1), task("4", "y", "b", 1))
+	out, _ := q.Next(epoch)
+	assert.Equal(t, out.Key.JobID, "2")
+	removed := q.SetPolicy([]bundle.Class{b}, teamsOf("x"))
+	assert.DeepEqual(t, removed, []Item{task("3", "y", "a", 1), task("4", "y", "b", 1)})
+	q.Postpone(epoch, out, at(1)) // its class is gone
+	assert.DeepEqual(t, drainIDs(q, at(2)), []string{"1"})
+	assert.DeepEqual(t, q.Expire(at(2)), []Item{out})
+}
+
+// TestShapeOverflow guards against loss when items have more shapes than the
+// table holds.
+func TestShapeOverflow(t *testing.T) {
+	q := policy(1<<20, []bundle.Class{{Name: "a", QueueBound: 1000}}, "x")
+	for i := range 200 {
+		it := task(fmt.Sprint(i), "x", "a", 1<<(i%20))
+		it.Resources.CPUMilli = 1 << (i / 20)
+		offer(t, q, it)
+	}
+	assert.Equal(t, len(drainIDs(q, epoch)), 200)
+}
