Add bundles, rolls, settings, logging, operator endpoints and fulmarlatchctl

Cause: the cell follows signed bundles only, so a process must decide from the log and from peers which roll is in force without ever reverting.

Ruled out: plain copies of the roll as log refresh. The loser of a race is signed as well as the winner, so a reader that starts between the two cannot tell them apart. Checkpoints that name the offset at which the roll was in force settle such a reader. Also ruled out: the strict JSON reader for the sections in records.

Conclusion: settled readers of one log agree.

--- /dev/null
+++ b/cmd/fulmarlatchctl/history.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/bundle"
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+)
+
+// maxVersions bounds the versions that are kept for a rollback.
+const maxVersions = 1000
+
+// history follows stream rolls from its oldest record.
+type history struct {
+	log     rollLog
+	chain   *bundle.Chain
+	keys    bundle.Keys
+	pause   time.Duration
+	oldest  uint64
+	bundles map[uint64]bundle.Bundle // by version, as last rolled
+	order   []uint64                 // versions of bundles, oldest first
+	rolled  map[bundle.Hash]bool     // rolls that took effect
+	// refused holds the reason why the record at an offset had no effect.
+	refused map[uint64]error
+	// unknownSigner is the first error of a roll by a signer without a key.
+	unknownSigner error
+}
+
+// maxRefused bounds the reasons that are kept.
+const maxRefused = 1000
+
+func newHistory(log rollLog, keys bundle.Keys, pause time.Duration) *history {
+	return &history{
+		log:     log,
+		chain:   bundle.NewChain(keys),
+		keys:    keys,
+		pause:   pause,
+		bundles: map[uint64]bundle.Bundle{},
+		rolled:  map[bundle.Hash]bool{},
+		refused: map[uint64]error{},
+	}
+}
+
+// catchUp reads to the end of the stream. It tries again while the log is down,
+// until ctx ends.
+func (h *history) catchUp(ctx context.Context) error {
+	for {
+		p, err := h.log.Read(ctx, h.chain.Next())
+		if err != nil && fault.KindOf(err) != fault.LogDown {
+			return err
+		}
+		if err != nil {
+			if !h.wait(ctx) {
+				return err
+			}
+			continue
+		}
+		h.oldest = p.Oldest
+		for _, r := range p.Records {
+			h.apply(r.Offset, r.Data)
+		}
+		if len(p.Records) == 0 {
+			return nil
+		}
+	}
+}
+
+// wait pauses before another attempt and reports false if ctx ends first.
+func (h *history) wait(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(h.pause):
+		return true
+	}
+}
+
+func (h *history) apply(offset uint64, data []byte) {
+	change, err := h.chain.Apply(offset, data)
+	if err != nil && len(h.refused) < maxRefused {
+		h.refused[offset] = err
+	}
+	if err != nil && h.unknownSigner == nil && fault.KindOf(err) == fault.Unauthorized {
+		h.unknownSigner = err
+	}
+	if change.Kind == bundle.Unchanged {
+		return
+	}
+	h.rolled[change.Roll.ID] = true
+	version := change.Roll.Version
+	if _, known := h.bundles[version]; !known {
+		h.order = append(h.order, version)
+	}
+	h.bundles[version] = change.Bundle
+	if len(h.order) > maxVersions {
+		delete(h.bundles, h.order[0])
+		h.order = h.order[1:]
+	}
+}
+
+// checkVersion refuses a version that was used before with other content.
+func (h *history) checkVersion(b bundle.Bundle) error {
+	earlier, used := h.bundles[b.Version]
+	if !used || sameContent(earlier, b) {
+		return nil
+	}
+	return fault.New(fault.Invalid, fmt.Sprintf("version %d was rolled before with other content", b.Version),
+		"give the bundle a version number that was not used yet")
+}
+
+// sameContent reports whether two bundles differ at most in their comment.
+func sameContent(a, b bundle.Bundle) bool {
+	a.Comment, b.Comment = "", ""
+	x, err1 := bundle.Canonical(a)
+	y, err2 := bundle.Canonical(b)
+	return err1 == nil && err2 == nil && bytes.Equal(x, y)
+}
+
+// base checks that the log shows which roll is in force, and that it is number
+// replaces if that is not nil.
+func (h *history) base(replaces *uint64) error {
+	info, _, found := h.chain.InForce()
+	known := h.chain.Settled() || (!found && h.chain.Next() == 0 && h.oldest == 0)
+	if replaces == nil && !known {
+		return fault.New(fault.Conflict, fmt.Sprintf("the log has dropped earlier records, so roll %d may not be the one in force", info.Number),
+			"ask the entry processes with status and pass the number of their roll with --replaces, 0 if no process has one")
+	}
+	if replaces != nil && *replaces != info.Number {
+		return fault.New(fault.Conflict, fmt.Sprintf("roll %d is in force in the log, not roll %d", info.Number, *replaces),
+			"look at it with bundle show, and pass its number if your bundle is to replace it")
+	}
+	return nil
+}
+
+// roll appends signed records until the log shows what became of them. A lost
+// answer is resolved by reading back; a repeated append changes nothing, because
+// the chain ignores copies.
+func (h *history) roll(ctx context.Context, s bundle.Signed) error {
+	for {
+		first, appendErr := h.log.Append(ctx, s.Records)
+		if appendErr != nil && fault.KindOf(appendErr) == fault.Invalid {
+			return appendErr
+		}
+		last := first + uint64(len(s.Records)) - 1
+		done, err := h.readBack(ctx, s, appendErr == nil, last)
+		if done {
+			return err
+		}
+		if err != nil || !h.wait(ctx) {
+			return unresolved(s, errors.Join(appendErr, err))
+		}
+	}
+}
+
+// readBack reads to the end of the stream, and past offset last if the append
+// was answered. It reports true if the log shows what became of the roll.
+func (h *history) readBack(ctx context.Context, s bundle.Signed, answered bool, last uint64) (bool, error) {
+	for {
+		if err := h.catchUp(ctx); err != nil {
+			return false, err
+		}
+		if done, err := h.outcome(s); done || !answered {
+			return done, err
+		}
+		if h.chain.Next() > last {
+			return h.refused[last] != nil, h.refused[last]
+		}
+		if !h.wait(ctx) {
+			return false, ctx.Err()
+		}
+	}
+}
+
+// outcome reports whether the log shows what became of a signed roll: nil if it
+// took effect, or a Conflict error if it never can.
+func (h *history) outcome(s bundle.Signed) (bool, error) {
+	if h.rolled[s.ID] {
+		return true, nil
+	}
+	info, _, _ := h.chain.InForce()
+	if info.Number < s.Number {
+		return false, nil
+	}
+	return true, fault.New(fault.Conflict,
+		fmt.Sprintf("roll %d (version %d) by %q was first; your roll %d has no effect", info.Number, info.Version, info.Signer, s.Number),
+		"look at the bundle in force with bundle show, merge your change into it under a new version, and roll again")
+}
+
+func unresolved(s bundle.Signed, err error) error {
+	return fault.Wrap(fault.LogDown, err, fmt.Sprintf("it is not known whether roll %d is in the log", s.Number),
+		"when the log is back, look with bundle show; rolling the same file again is safe")
+}
--- /dev/null
+++ b/internal/bundle/check.go
@@ -0,0 +1,245 @@
+package bundle
+
+import (
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/strictjson"
+)
+
+// Limits on a bundle, to bound memory and log records.
+const (
+	MaxClasses      = 64
+	MaxTeams        = 2000
+	MaxDrained      = 4096
+	MaxCommentBytes = 1024
+	// MaxSectionBytes bounds the canonical form of one section.
+	MaxSectionBytes = 512 << 10
+	// MaxBundleBytes bounds a bundle file.
+	MaxBundleBytes = 4 << 20
+)
+
+const (
+	maxRank        = 1000
+	maxQueueBound  = 1_000_000
+	maxDeadlineMS  = 24 * 60 * 60 * 1000
+	maxAttempts    = 100
+	maxWeight      = 1e6
+	maxIntervalMS  = 60 * 60 * 1000
+	maxTaskLeaseMS = 24 * 60 * 60 * 1000
+	// shareSlack absorbs the rounding of decimal shares that sum to 1.
+	shareSlack = 1e-9
+	tokenBytes = 32
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]{0,62}[a-z0-9])?$`)
+
+const nameRemedy = "use 1 to 64 of a-z, 0-9, dot, underscore and dash, starting and ending with a letter or digit"
+
+// Check returns every problem of b with the path of the field and a remedy, or
+// nil. Each problem is a *fault.Error of kind Invalid. Timing must have its
+// defaults filled in; Parse does that.
+func Check(b Bundle) error { return check(b).Err() }
+
+func check(b Bundle) strictjson.Problems {
+	var p strictjson.Problems
+	if b.Version == 0 {
+		p.Add("version", "is missing or 0", "give the bundle a new version number above 0")
+	}
+	if len(b.Comment) > MaxCommentBytes {
+		p.Add("comment", fmt.Sprintf("has %d bytes", len(b.Comment)), fmt.Sprintf("use at most %d bytes", MaxCommentBytes))
+	}
+	checkClasses(&p, b.Classes)
+	checkTeams(&p, b.Teams)
+	checkFleet(&p, b.Fleet)
+	checkTiming(&p, b.Timing)
+	return p
+}
+
+func checkClasses(p *strictjson.Problems, classes []Class) {
+	if len(classes) == 0 || len(classes) > MaxClasses {
+		p.Add("classes", fmt.Sprintf("has %d entries", len(classes)), fmt.Sprintf("list 1 to %d classes", MaxClasses))
+	}
+	seen := map[string]bool{}
+	floors := 0.0
+	for i, c := range classes {
+		path := "classes[" + strconv.Itoa(i) + "]"
+		checkName(p, path, c.Name, seen)
+		checkClass(p, path, c)
+		floors += c.Floor
+	}
+	if floors > 1+shareSlack {
+		p.Add("classes", fmt.Sprintf("has floors that sum to %g", floors), "lower floors until they sum to at most 1")
+	}
+}
+
+func checkClass(p *strictjson.Problems, path string, c Class) {
+	checkInt(p, path+".rank", int64(c.Rank), 0, maxRank)
+	checkShare(p, path+".floor", c.Floor)
+	checkShare(p, path+".ceiling", c.Ceiling)
+	if c.Ceiling == 0 {
+		p.Add(path+".ceiling", "is missing or 0", "give the largest share of capacity, above 0 and at most 1")
+	} else if c.Floor > c.Ceiling {
+		p.Add(path+".floor", fmt.Sprintf("is %g, above the ceiling %g", c.Floor, c.Ceiling), "lower the floor or raise the ceiling")
+	}
+	checkInt(p, path+".queue_bound", int64(c.QueueBound), 1, maxQueueBound)
+	checkInt(p, path+".deadline_ms", c.DeadlineMS, 0, maxDeadlineMS)
+	checkShare(p, path+".retry_budget", c.RetryBudget)
+	checkInt(p, path+".max_attempts", int64(c.MaxAttempts), 1, maxAttempts)
+	checkKinds(p, path+".kinds", c.Kinds)
+}
+
+func checkKinds(p *strictjson.Problems, path string, kinds []api.Kind) {
+	seen := map[api.Kind]bool{}
+	for i, k := range kinds {
+		at := path + "[" + strconv.Itoa(i) + "]"
+		if k != api.KindRequest && !k.Logged() {
+			p.Add(at, fmt.Sprintf("is %q", k), "use request, batch, gang or service")
+		}
+		if seen[k] {
+			p.Add(at, fmt.Sprintf("repeats %q", k), "list each kind once")
+		}
+		seen[k] = true
+	}
+}
+
+func checkTeams(p *strictjson.Problems, teams []Team) {
+	if len(teams) > MaxTeams {
+		p.Add("teams", fmt.Sprintf("has %d entries", len(teams)), fmt.Sprintf("list at most %d teams", MaxTeams))
+	}
+	seen := map[string]bool{}
+	tokens := map[string]string{}
+	for i, t := range teams {
+		path := "teams[" + strconv.Itoa(i) + "]"
+		checkName(p, path, t.Name, seen)
+		checkTeam(p, path, t)
+		if other, used := tokens[t.TokenHash]; used && t.TokenHash != "" {
+			p.Add(path+".token_hash", "is also that of team "+other, "give each team its own token")
+		}
+		tokens[t.TokenHash] = t.Name
+	}
+}
+
+func checkTeam(p *strictjson.Problems, path string, t Team) {
+	if !(t.Weight > 0 && t.Weight <= maxWeight) {
+		p.Add(path+".weight", fmt.Sprintf("is %g", t.Weight), fmt.Sprintf("use a number above 0 and at most %g", float64(maxWeight)))
+	}
+	for d := api.CPU; d < api.NumDimensions; d++ {
+		if amount := t.Quota.Get(d); amount < 0 {
+			p.Add(path+".quota."+d.String(), fmt.Sprintf("is %d", amount), "use 0 for no bound, or more")
+		}
+	}
+	if t.TokenHash == "" {
+		return
+	}
+	raw, err := hex.DecodeString(t.TokenHash)
+	if err != nil || len(raw) != tokenBytes || strings.ToLower(t.TokenHash) != t.TokenHash {
+		p.Add(path+".token_hash", "is not a SHA-256", "give the SHA-256 of the token as 64 lower-case hexadecimal digits")
+	}
+}
+
+func checkFleet(p *strictjson.Problems, f Fleet) {
+	checkShare(p, "fleet.packing_weight", f.PackingWeight)
+	if len(f.Drain) > MaxDrained {
+		p.Add("fleet.drain", fmt.Sprintf("has %d entries", len(f.Drain)), fmt.Sprintf("list at most %d workers", MaxDrained))
+	}
+	seen := map[string]bool{}
+	for i, worker := range f.Drain {
+		path := "fleet.drain[" + strconv.Itoa(i) + "]"
+		if worker == "" || len(worker) > 64 {
+			p.Add(path, fmt.Sprintf("has %d bytes", len(worker)), "name a worker in 1 to 64 bytes")
+		}
+		if seen[worker] {
+			p.Add(path, fmt.Sprintf("repeats %q", worker), "list each worker once")
+		}
+		seen[worker] = true
+	}
+}
+
+func checkTiming(p *strictjson.Problems, t Timing) {
+	before := len(*p)
+	checkInt(p, "timing.worker_lease_ms", t.WorkerLeaseMS, 1, maxIntervalMS)
+	checkInt(p, "timing.lease_renew_ms", t.LeaseRenewMS, 1, maxIntervalMS)
+	checkInt(p, "timing.task_lease_ms", t.TaskLeaseMS, 1, maxTaskLeaseMS)
+	checkInt(p, "timing.heartbeat_ms", t.HeartbeatMS, 1, maxIntervalMS)
+	checkInt(p, "timing.peer_down_ms", t.PeerDownMS, 1, maxIntervalMS)
+	checkInt(p, "timing.reserve_timeout_ms", t.ReserveTimeoutMS, 1, maxIntervalMS)
+	checkInt(p, "timing.reservation_ttl_ms", t.ReservationTTLMS, 1, maxIntervalMS)
+	checkInt(p, "timing.orphan_grace_ms", t.OrphanGraceMS, 1, maxIntervalMS)
+	if len(*p) > before {
+		return
+	}
+	// A lease survives one lost renewal only if two renewals fit into it.
+	checkAbove(p, "timing.worker_lease_ms", t.WorkerLeaseMS, 2*t.LeaseRenewMS, "2 x lease_renew_ms")
+	// A task must outlive the lapse of its holder's lease and the takeover.
+	checkAbove(p, "timing.task_lease_ms", t.TaskLeaseMS, t.WorkerLeaseMS+2*t.PeerDownMS, "worker_lease_ms + 2 x peer_down_ms")
+	// One lost heartbeat must not take a peer down.
+	checkAbove(p, "timing.peer_down_ms", t.PeerDownMS, 2*t.HeartbeatMS, "2 x heartbeat_ms")
+	// A reservation answered in time must still be there for the commit.
+	checkAbove(p, "timing.reservation_ttl_ms", t.ReservationTTLMS, t.ReserveTimeoutMS, "reserve_timeout_ms")
+}
+
+func checkAbove(p *strictjson.Problems, path string, value, least int64, rule string) {
+	if value <= least {
+		p.Add(path, fmt.Sprintf("is %d ms, not above %d ms", value, least), "keep it above "+rule)
+	}
+}
+
+func checkInt(p *strictjson.Problems, path string, value, least, most int64) {
+	if value < least || value > most {
+		p.Add(path, fmt.Sprintf("is %d", value), fmt.Sprintf("use %d to %d", least, most))
+	}
+}
+
+func checkShare(p *strictjson.Problems, path string, value float64) {
+	if !(value >= 0 && value <= 1) {
+		p.Add(path, fmt.Sprintf("is %g", value), "use a share from 0 to 1")
+	}
+}
+
+func checkName(p *strictjson.Problems, path, name string, seen map[string]bool) {
+	if !namePattern.MatchString(name) {
+		p.Add(path+".name", fmt.Sprintf("is %q", name), nameRemedy)
+	}
+	if seen[name] {
+		p.Add(path+".name", fmt.Sprintf("repeats %q", name), "give each entry its own name")
+	}
+	seen[name] = true
+}
+
+// withDefaults returns t with the default in place of every 0.
+func (t Timing) withDefaults() Timing {
+	d := DefaultTiming()
+	set := func(value *int64, byDefault int64) {
+		if *value == 0 {
+			*value = byDefault
+		}
+	}
+	set(&t.WorkerLeaseMS, d.WorkerLeaseMS)
+	set(&t.LeaseRenewMS, d.LeaseRenewMS)
+	set(&t.TaskLeaseMS, d.TaskLeaseMS)
+	set(&t.HeartbeatMS, d.HeartbeatMS)
+	set(&t.PeerDownMS, d.PeerDownMS)
+	set(&t.ReserveTimeoutMS, d.ReserveTimeoutMS)
+	set(&t.ReservationTTLMS, d.ReservationTTLMS)
+	set(&t.OrphanGraceMS, d.OrphanGraceMS)
+	return t
+}
+
+// normalize returns b with defaults filled in and lists in canonical order. The
+// lists of b are not modified.
+func normalize(b Bundle) Bundle {
+	b.Timing = b.Timing.withDefaults()
+	b.Classes = slices.Clone(b.Classes)
+	slices.SortStableFunc(b.Classes, func(x, y Class) int { return strings.Compare(x.Name, y.Name) })
+	b.Teams = append([]Team{}, b.Teams...)
+	slices.SortStableFunc(b.Teams, func(x, y Team) int { return strings.Compare(x.Name, y.Name) })
+	b.Fleet.Drain = slices.Clone(b.Fleet.Drain)
+	slices.Sort(b.Fleet.Drain)
+	return b
+}
--- /dev/null
+++ b/internal/bundle/check_test.go
@@ -0,0 +1,149 @@
+package bundle
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+)
+
+const (
+	goodClass  = `{"name":"quick","rank":0,"floor":0.2,"ceiling":0.8,"queue_bound":10,"deadline_ms":0,"retry_budget":0.1,"max_attempts":2,"preemptible":false}`
+	goodTeam   = `{"name":"growers","weight":1,"quota":{"slots":5}}`
+	goodBundle = `{"version":1,"classes":[` + goodClass + `],"teams":[` + goodTeam + `],"fleet":{"packing_weight":0.5},"timing":{}}`
+)
+
+func with(old, new string) string { return strings.Replace(goodBundle, old, new, 1) }
+
+// TestParseRejects guards against a wrong bundle that passes its checks or is
+// reported without the path of the field and a remedy.
+func TestParseRejects(t *testing.T) {
+	timing := func(fields string) string { return with(`"timing":{}`, `"timing":{`+fields+`}`) }
+	many := func(n int, format string) string {
+		list := make([]string, n)
+		for i := range list {
+			list[i] = fmt.Sprintf(format, i)
+		}
+		return strings.Join(list, ",")
+	}
+	for _, c := range []struct{ name, data, path string }{
+		{"empty file", ``, "document"},
+		{"syntax", `{"version":`, "document"},
+		{"not UTF-8", "{\"version\":1,\"comment\":\"\xff\"}", "document"},
+		{"data after end", goodBundle + `{}`, "document"},
+		{"list", `[]`, "document"},
+		{"null", with(`"teams":[`+goodTeam+`]`, `"teams":null`), "teams"},
+		{"deep nesting", with(`"version":1`, `"version":`+strings.Repeat("[", 50)), "document"},
+		{"unknown field", with(`"fleet":{`, `"fleet":{"speed":1,`), "fleet.speed"},
+		{"unknown field by case", with(`"version"`, `"Version"`), "Version"},
+		{"duplicate key", with(`"version":1`, `"version":1,"version":2`), "version"},
+		{"duplicate nested key", with(`"weight":1`, `"weight":1,"weight":2`), "teams[0].weight"},
+		{"wrong type", with(`"rank":0`, `"rank":"0"`), "classes[0].rank"},
+		{"fraction", with(`"queue_bound":10`, `"queue_bound":1.5`), "classes[0].queue_bound"},
+		{"missing version", with(`"version":1,`, ``), "version"},
+		{"negative version", with(`"version":1`, `"version":-1`), "version"},
+		{"long comment", with(`"version":1`, `"version":1,"comment":"`+strings.Repeat("x", MaxCommentBytes+1)+`"`), "comment"},
+		{"no classes", with(goodClass, ``), "classes"},
+		{"duplicate class", with(goodClass, goodClass+`,`+goodClass), "classes[1].name"},
+		{"class name", with(`"name":"quick"`, `"name":"Quick work"`), "classes[0].name"},
+		{"rank", with(`"rank":0`, `"rank":-1`), "classes[0].rank"},
+		{"floor", with(`"floor":0.2`, `"floor":-0.1`), "classes[0].floor"},
+		{"floor above ceiling", with(`"floor":0.2`, `"floor":0.9`), "classes[0].floor"},
+		{"floors above 1", with(goodClass, strings.ReplaceAll(goodClass, "0.2", "0.6")+`,`+strings.ReplaceAll(strings.ReplaceAll(goodClass, "0.2", "0.6"), "quick", "slow")), "classes"},
+		{"ceiling", with(`"ceiling":0.8`, `"ceiling":1.1`), "classes[0].ceiling"},
+		{"missing ceiling", with(`"ceiling":0.8,`, ``), "classes[0].ceiling"},
+		{"queue bound", with(`"queue_bound":10`, `"queue_bound":0`), "classes[0].queue_bound"},
+		{"deadline", with(`"deadline_ms":0`, `"deadline_ms":-5`), "classes[0].deadline_ms"},
+		{"retry budget", with(`"retry_budget":0.1`, `"retry_budget":2`), "classes[0].retry_budget"},
+		{"attempts", with(`"max_attempts":2`, `"max_attempts":0`), "classes[0].max_attempts"},
+		{"kind", with(`"max_attempts":2`, `"max_attempts":2,"kinds":["cron"]`), "classes[0].kinds[0]"},
+		{"duplicate kind", with(`"max_attempts":2`, `"max_attempts":2,"kinds":["batch","batch"]`), "classes[0].kinds[1]"},
+		{"duplicate team", with(goodTeam, goodTeam+`,`+goodTeam), "teams[1].name"},
+		{"team name", with(`"growers"`, `""`), "teams[0].name"},
+		{"weight", with(`"weight":1`, `"weight":0`), "teams[0].weight"},
+		{"quota", with(`"slots":5`, `"slots":-5`), "teams[0].quota.slots"},
+		{"token hash", with(`"weight":1`, `"weight":1,"token_hash":"abc"`), "teams[0].token_hash"},
+		{"shared token", with(goodTeam, many(2, `{"name":"t%d","weight":1,"quota":{},"token_hash":"`+strings.Repeat("ab", 32)+`"}`)), "teams[1].token_hash"},
+		{"too many classes", with(goodClass, many(MaxClasses+1, `{"name":"c%d","rank":0,"floor":0,"ceiling":1,"queue_bound":1,"deadline_ms":0,"retry_budget":0,"max_attempts":1,"preemptible":false}`)), "classes"},
+		{"too many teams", with(goodTeam, many(MaxTeams+1, `{"name":"t%d","weight":1,"quota":{}}`)), "teams"},
+		{"packing weight", with(`0.5`, `1.5`), "fleet.packing_weight"},
+		{"duplicate drain", with(`0.5`, `0.5,"drain":["w","w"]`), "fleet.drain[1]"},
+		{"empty drain", with(`0.5`, `0.5,"drain":[""]`), "fleet.drain[0]"},
+		{"negative interval", timing(`"heartbeat_ms":-1`), "timing.heartbeat_ms"},
+		{"long interval", timing(`"orphan_grace_ms":99999999999`), "timing.orphan_grace_ms"},
+		{"worker lease", timing(`"worker_lease_ms":2000`), "timing.worker_lease_ms"},
+		{"task lease", timing(`"task_lease_ms":9000`), "timing.task_lease_ms"},
+		{"peer down", timing(`"peer_down_ms":1000`), "timing.peer_down_ms"},
+		{"reservation", timing(`"reservation_ttl_ms":300`), "timing.reservation_ttl_ms"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse([]byte(c.data))
+			assert.Assert(t, err != nil)
+			found := false
+			for _, e := range problems(t, err) {
+				found = found || strings.HasPrefix(e.Message, c.path+" ")
+				assert.Equal(t, e.Kind, fault.Invalid)
+				assert.Assert(t, e.Remedy != "" && !strings.Contains(e.Error(), "\n"))
+			}
+			assert.Assert(t, found, "no problem at %s in: %v", c.path, err)
+		})
+	}
+}
+
+func problems(t *testing.T, err error) []*fault.Error {
+	t.Helper()
+	var list interface{ Unwrap() []error }
+	assert.Assert(t, errors.As(err, &list))
+	var out []*fault.Error
+	for _, err := range list.Unwrap() {
+		out = append(out, fault.As(err))
+	}
+	return out
+}
+
+// TestParseReportsAll guards against a report that stops at the first problem or
+// names one twice.
+func TestParseReportsAll(t *testing.T) {
+	data := strings.NewReplacer(`"version":1`, `"verson":1`, `"rank":0`, `"rank":"a"`, `"weight":1`, `"weight":-1`).Replace(goodBundle)
+	_, err := Parse([]byte(data))
+	var messages []string
+	for _, e := range problems(t, err) {
+		word, _, _ := strings.Cut(e.Message, " ")
+		messages = append(messages, word)
+	}
+	assert.DeepEqual(t, messages, []string{"verson", "classes[0].rank", "version", "teams[0].weight"})
+}
+
+// TestParseCanonical guards against two files of equal content with different
+// sections, which would make an unchanged section cost an append.
+func TestParseCanonical(t *testing.T) {
+	second := strings.Replace(goodTeam, "growers", "depots", 1)
+	a, err := Parse([]byte(with(goodTeam, goodTeam+`,`+second)))
+	assert.NilError(t, err)
+	b, err := Parse([]byte(with(goodTeam, second+` , `+goodTeam)))
+	assert.NilError(t, err)
+	x, err := Canonical(a)
+	assert.NilError(t, err)
+	y, err := Canonical(b)
+	assert.NilError(t, err)
+	assert.Equal(t, string(x), string(y))
+	assert.Equal(t, a.Timing, DefaultTiming())
+	again, err := Parse(x)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, a)
+}
+
+// TestExamples guards against documented bundles that the checks refuse.
+func TestExamples(t *testing.T) {
+	for _, name := range []string{"order-desk", "enquiry-desk"} {
+		data, err := os.ReadFile("../../examples/" + name + "/bundle.json")
+		assert.NilError(t, err)
+		_, err = Parse(data)
+		assert.NilError(t, err)
+	}
+}
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -1,6 +1,6 @@
 // Package bundle defines the operators' bundle: its schema and checks, the
 // signature by a named person, sections addressed by hash, and the chain of
-// rolls. It imports the api and fault packages.
+// rolls. It imports the api, fault and strictjson packages.
 package bundle
 
 import "github.com/fulmarlatch/fulmarlatch/internal/api"
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,153 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+)
+
+// Paths of the endpoints.
+const (
+	PathLive    = "/livez"
+	PathReady   = "/readyz"
+	PathMetrics = "/metrics"
+	PathDump    = "/dump"
+)
+
+const (
+	maxConnections = 64
+	maxBodyBytes   = 4 << 10
+	readTimeout    = 5 * time.Second
+	writeTimeout   = 30 * time.Second
+	idleTimeout    = 30 * time.Second
+	// dumpTimeout bounds the wait for the control goroutine's answer.
+	dumpTimeout = 10 * time.Second
+	// maxReports bounds the dumps and metric reports that are in memory at once.
+	maxReports   = 2
+	busyRetryMS  = 1000
+	contentPlain = "text/plain; charset=utf-8"
+)
+
+// Readiness is the answer of /readyz.
+type Readiness struct {
+	Ready   bool     `json:"ready"`
+	Reasons []string `json:"reasons,omitempty"` // why the process is not ready
+	Entry   string   `json:"entry"`
+	Roll    uint64   `json:"roll"`              // number of the roll in force, 0 for none
+	RollID  string   `json:"roll_id,omitempty"` // in hexadecimal
+	Version uint64   `json:"version"`           // of the bundle in force
+}
+
+// Sources supply what the endpoints show. All of them are called from the
+// goroutines of the server.
+type Sources struct {
+	// Ready must not block.
+	Ready func() Readiness
+	// Dump returns the state of the process, to be encoded as JSON.
+	Dump    func(ctx context.Context) (any, error)
+	Metrics metrics.Registry
+}
+
+// Server serves the endpoints of one process.
+type Server struct {
+	app     *fiber.App
+	sources Sources
+	reports chan struct{}
+}
+
+// NewServer returns a server that shows sources.
+func NewServer(sources Sources) *Server {
+	s := &Server{sources: sources, reports: make(chan struct{}, maxReports)}
+	s.app = fiber.New(fiber.Config{
+		Concurrency:  maxConnections,
+		BodyLimit:    maxBodyBytes,
+		ReadTimeout:  readTimeout,
+		WriteTimeout: writeTimeout,
+		IdleTimeout:  idleTimeout,
+		ErrorHandler: writeError,
+	})
+	s.app.Get(PathLive, func(c fiber.Ctx) error { return c.SendString("ok\n") })
+	s.app.Get(PathReady, s.ready)
+	s.app.Get(PathMetrics, s.bounded(s.metrics))
+	s.app.Get(PathDump, s.bounded(s.dump))
+	return s
+}
+
+// Serve answers requests on ln until Shutdown. It returns the error of the
+// listener, or nil after Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	return s.app.Listener(ln, fiber.ListenConfig{DisableStartupMessage: true})
+}
+
+// Shutdown closes the listener and waits for requests in progress until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.app.ShutdownWithContext(ctx) }
+
+func (s *Server) ready(c fiber.Ctx) error {
+	r := s.sources.Ready()
+	if !r.Ready {
+		c.Status(fiber.StatusServiceUnavailable)
+	}
+	return c.JSON(r)
+}
+
+// bounded refuses a report while maxReports others are being written, because
+// each one is built in memory.
+func (s *Server) bounded(next fiber.Handler) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		select {
+		case s.reports <- struct{}{}:
+			defer func() { <-s.reports }()
+			return next(c)
+		default:
+			e := fault.New(fault.Unavailable, "other reports are being written", "ask again later")
+			e.RetryAfterMS = busyRetryMS
+			return e
+		}
+	}
+}
+
+// metrics answers in JSON, or in plain text if the caller asks for text/plain or
+// ?format=text.
+func (s *Server) metrics(c fiber.Ctx) error {
+	plain := c.Query("format") == "text" || strings.HasPrefix(c.Get(fiber.HeaderAccept), "text/plain")
+	if !plain {
+		return c.JSON(s.sources.Metrics.GetAll())
+	}
+	var text bytes.Buffer
+	metrics.WriteOnce(s.sources.Metrics, &text)
+	c.Set(fiber.HeaderContentType, contentPlain)
+	return c.Send(text.Bytes())
+}
+
+func (s *Server) dump(c fiber.Ctx) error {
+	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
+	defer cancel()
+	state, err := s.sources.Dump(ctx)
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(state)
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "the state cannot be encoded", "report this as a defect")
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Send(data)
+}
+
+// writeError answers an error as the JSON of a *fault.Error.
+func writeError(c fiber.Ctx, err error) error {
+	if e, ok := err.(*fiber.Error); ok {
+		c.Status(e.Code)
+		return c.JSON(fault.New(fault.NotFound, e.Message, "use GET "+strings.Join([]string{PathLive, PathReady, PathMetrics, PathDump}, ", ")))
+	}
+	c.Status(fiber.StatusServiceUnavailable)
+	return c.JSON(fault.As(err))
+}
