Add the platform clients and the stand-ins

Cause: entry processes need clients of the worker API, the log service and the VM list, and tests need a platform with faults.

Before: none of these packages existed.

--- /dev/null
+++ b/internal/standin/log.go
@@ -0,0 +1,196 @@
+package standin
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"golang.org/x/time/rate"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/fulmarlatch/fulmarlatch/internal/platformlog"
+)
+
+// Bounds of the log service.
+const (
+	maxReadRecords   = 1000
+	maxReadBytes     = 1 << 20
+	maxAppendRecords = 500
+	maxRecordBytes   = 1 << 20
+)
+
+// LogFaults are the faults of the log service that the admin endpoint sets.
+type LogFaults struct {
+	Down    bool  `json:"down"`     // answers 503
+	DelayMS int64 `json:"delay_ms"` // before a request takes effect
+	// LoseAppends is the number of appends from now on that take effect without
+	// a response; -1 loses all.
+	LoseAppends int `json:"lose_appends"`
+	// LoseBy504 answers a lost append with 504 instead of closing the connection.
+	LoseBy504 bool `json:"lose_by_504"`
+	// AppendsPerSecond changes the limit if it is not 0.
+	AppendsPerSecond int `json:"appends_per_second"`
+}
+
+type logService struct {
+	ctx       context.Context
+	retention time.Duration
+	limiter   *rate.Limiter
+
+	mu      sync.Mutex
+	faults  LogFaults
+	streams map[string]*stream
+}
+
+type stream struct {
+	first   uint64 // offset of records[0]
+	records []platformlog.Record
+	grown   broadcast
+}
+
+func newLog(ctx context.Context, config LogConfig) *logService {
+	limit := config.AppendsPerSecond
+	return &logService{ctx: ctx, retention: milliseconds(config.RetentionMS),
+		limiter: rate.NewLimiter(rate.Limit(limit), max(1, limit/10)), streams: map[string]*stream{}}
+}
+
+func (l *logService) routes(app *fiber.App) {
+	app.Use(l.fail)
+	app.Post("/v1/streams/:stream/records", l.handleAppend)
+	app.Get("/v1/streams/:stream/records", l.handleRead)
+}
+
+// set replaces the faults.
+func (l *logService) set(faults LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = faults
+	if n := faults.AppendsPerSecond; n > 0 {
+		l.limiter.SetLimit(rate.Limit(n))
+		l.limiter.SetBurst(max(1, n/10))
+	}
+}
+
+func (l *logService) fail(c fiber.Ctx) error {
+	l.mu.Lock()
+	faults := l.faults
+	l.mu.Unlock()
+	if faults.DelayMS > 0 {
+		sleep(l.ctx, milliseconds(faults.DelayMS))
+	}
+	if faults.Down {
+		return fault.New(fault.LogDown, "the log service is down", "wait until it is up")
+	}
+	return c.Next()
+}
+
+func (l *logService) handleAppend(c fiber.Ctx) error {
+	request, err := body[platformlog.AppendRequest](c)
+	if err != nil {
+		return err
+	}
+	if err := checkAppend(request.Records); err != nil {
+		return err
+	}
+	if !l.limiter.Allow() {
+		e := fault.New(fault.QueueFull, "too many appends a second", "put more records into one append")
+		e.RetryAfterMS = 50
+		return e
+	}
+	response, lost := l.append(strings.Clone(c.Params("stream")), request.Records)
+	switch {
+	case lost && l.loseBy504():
+		return c.SendStatus(fiber.StatusGatewayTimeout)
+	case lost:
+		return dropConnection(c)
+	}
+	return c.JSON(response)
+}
+
+func checkAppend(records [][]byte) error {
+	if len(records) == 0 || len(records) > maxAppendRecords {
+		return fault.New(fault.Invalid, "an append has 1 to 500 records", "split the append")
+	}
+	for _, r := range records {
+		if len(r) > maxRecordBytes {
+			return fault.New(fault.Invalid, "a record is longer than 1 MiB", "shorten the record")
+		}
+	}
+	return nil
+}
+
+func (l *logService) loseBy504() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults.LoseBy504
+}
+
+func (l *logService) append(name string, records [][]byte) (response platformlog.AppendResponse, lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	now := time.Now().UnixMilli()
+	response.First = s.next()
+	for _, data := range records {
+		s.records = append(s.records, platformlog.Record{Offset: s.next(), TimeMS: now, Data: data})
+	}
+	response.Next = s.next()
+	s.grown.wake()
+	lost = l.faults.LoseAppends != 0
+	if l.faults.LoseAppends > 0 {
+		l.faults.LoseAppends--
+	}
+	return response, lost
+}
+
+// stream returns the stream without the records past their retention.
+func (l *logService) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{grown: make(broadcast)}
+		l.streams[name] = s
+	}
+	oldest := time.Now().Add(-l.retention).UnixMilli()
+	expired := sort.Search(len(s.records), func(i int) bool { return s.records[i].TimeMS >= oldest })
+	if expired > 0 {
+		s.first += uint64(expired)
+		s.records = append([]platformlog.Record(nil), s.records[expired:]...)
+	}
+	return s
+}
+
+func (s *stream) next() uint64 { return s.first + uint64(len(s.records)) }
+
+func (l *logService) handleRead(c fiber.Ctx) error {
+	name := strings.Clone(c.Params("stream"))
+	from := fiber.Query[uint64](c, "from")
+	limit := fiber.Query(c, "max", maxReadRecords)
+	wait := milliseconds(fiber.Query[int64](c, "wait_ms"))
+	response, grown := l.read(name, from, limit)
+	if len(response.Records) == 0 && wait > 0 {
+		waitFor(l.ctx, grown, wait)
+		response, _ = l.read(name, from, limit)
+	}
+	return c.JSON(response)
+}
+
+func (l *logService) read(name string, from uint64, limit int) (platformlog.ReadResponse, broadcast) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	response := platformlog.ReadResponse{Next: s.next(), Oldest: s.first,
+		RetentionMS: l.retention.Milliseconds(), Records: []platformlog.Record{}}
+	size := 0
+	for at := max(from, s.first); at < s.next() && len(response.Records) < min(limit, maxReadRecords); at++ {
+		r := s.records[at-s.first]
+		size += len(r.Data)
+		if len(response.Records) > 0 && size > maxReadBytes {
+			break
+		}
+		response.Records = append(response.Records, r)
+	}
+	return response, s.grown
+}
