placement: add the accounting of held workers

Cause: the holder needs exact accounting of its workers and a decision well under 1 ms at 13,000 workers.

Ruled out: the plain dominant remaining share as the packing score.

--- /dev/null
+++ b/internal/placement/packing_test.go
@@ -0,0 +1,133 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+)
+
+// mix is a distribution of task sizes.
+type mix struct {
+	name   string
+	memory float64 // share of the worker's memory relative to its processors
+}
+
+// In the first mix processors are the binding resource. In the second one
+// processors and memory bind equally, so that room in one is often left
+// without the other and the bound of 100% cannot be reached.
+var mixes = []mix{{"cpubound", 0.75}, {"balanced", 1}}
+
+// packingRun fills workers from a backlog of mixed sizes, lets a fifth of the
+// tasks end and refills, several times. The declared sizes of each team are off
+// by a factor of its own between 0.3 and 3.
+type packingRun struct {
+	pool    *Pool
+	rng     *rand.Rand
+	choose  chooser
+	shape   api.Resources
+	mix     mix
+	factors []float64 // used/declared by team
+	next    int
+}
+
+const (
+	packingWorkers = 50
+	packingTeams   = 12
+	packingBacklog = 1000 // tasks offered in a round, several times what is free
+	packingRounds  = 20
+	packingWarmUp  = 5 // rounds that are not measured, while sizes are learned
+)
+
+func newPackingRun(shape api.Resources, m mix, choose chooser, seed uint64) *packingRun {
+	r := &packingRun{pool: newPool(packingWorkers, shape), rng: rand.New(rand.NewPCG(seed, 1)), choose: choose, shape: shape, mix: m}
+	for range packingTeams {
+		r.factors = append(r.factors, 0.3*math.Exp(r.rng.Float64()*math.Log(10)))
+	}
+	return r
+}
+
+// offer tries to place the next task of the backlog and reports its use.
+func (r *packingRun) offer() {
+	team := r.rng.IntN(packingTeams)
+	used := mixedSize(r.rng, r.shape)
+	used.MemoryMB = int64(float64(used.MemoryMB) * r.mix.memory)
+	declared := smaller(share(used, 1/r.factors[team]), r.shape)
+	declared.Slots = 1
+	request := request(r.next, "c", declared)
+	request.Spec.Team = fmt.Sprint(team)
+	r.next++
+	q := r.pool.newQuery(request, start.Add(1))
+	if w := r.choose(r.pool, q); w != nil {
+		r.pool.reserve(q, w)
+		r.pool.Start(start, request.Spec.Attempt)
+		r.pool.RecordUse(start, w.Name, request.Spec.Attempt, used)
+	}
+}
+
+// endSome ends a fifth of the running tasks.
+func (r *packingRun) endSome() {
+	for _, name := range r.pool.Workers() {
+		for _, t := range append([]*task(nil), r.pool.workers[name].tasks...) {
+			if r.rng.IntN(5) == 0 {
+				r.pool.Release(t.spec.Attempt)
+			}
+		}
+	}
+}
+
+// processorsInUse returns the share of processors, the binding resource of the
+// mixes, that charges and measured use above them take.
+func (r *packingRun) processorsInUse() float64 {
+	free := int64(0)
+	for _, w := range r.pool.workers {
+		free += max(w.free().CPUMilli, 0)
+	}
+	return 1 - float64(free)/float64(r.pool.Capacity().CPUMilli)
+}
+
+// run returns the mean share of the binding resource in use after a refill.
+func (r *packingRun) run() (mean float64) {
+	for round := range packingRounds {
+		r.endSome()
+		for range packingBacklog {
+			r.offer()
+		}
+		if round >= packingWarmUp {
+			mean += r.processorsInUse() / (packingRounds - packingWarmUp)
+		}
+	}
+	return mean
+}
+
+// BenchmarkPacking reports the share of the binding resource in use in percent;
+// the upper bound is 100, because the backlog asks for more than there is.
+func BenchmarkPacking(b *testing.B) {
+	for name, shape := range shapesOf {
+		for _, m := range mixes {
+			for _, c := range choosers {
+				b.Run(name+"/"+m.name+"/"+c.name, func(b *testing.B) {
+					sum := 0.0
+					for i := range b.N {
+						sum += newPackingRun(shape, m, c.choose, uint64(i)).run()
+					}
+					b.ReportMetric(100*sum/float64(b.N), "%inuse")
+				})
+			}
+		}
+	}
+}
+
+// TestPackingAheadOfFirstFit guards against a scoring that strands room.
+func TestPackingAheadOfFirstFit(t *testing.T) {
+	for name, shape := range shapesOf {
+		pool := newPackingRun(shape, mixes[0], (*Pool).find, 1).run()
+		first := newPackingRun(shape, mixes[0], firstFit, 1).run()
+		assert.Assert(t, pool > first, "%s: %.3f in use, %.3f with first-fit", name, pool, first)
+		assert.Assert(t, pool > 0.95, "%s: %.3f in use", name, pool)
+	}
+}
--- /dev/null
+++ b/internal/placement/summary.go
@@ -0,0 +1,98 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+)
+
+// Summary is what peers need to know to choose a holder.
+type Summary struct {
+	Held int `json:"held"` // workers held
+	// Capacity is the sum over the held workers that take new work.
+	Capacity api.Resources `json:"capacity"`
+	// Free and Largest are the sum and the largest amount per dimension over
+	// the workers on which a task can be placed at present.
+	Free    api.Resources `json:"free"`
+	Largest api.Resources `json:"largest"`
+	// FreeByClass is how much each class of the bundle may still take under
+	// floors and ceilings, at most Free.
+	FreeByClass map[string]api.Resources `json:"free_by_class,omitempty"`
+}
+
+// Summary returns the present totals, in time proportional to the classes and
+// the workers changed since the last call.
+func (p *Pool) Summary() Summary {
+	p.flush()
+	s := Summary{
+		Held:        len(p.workers),
+		Capacity:    p.classes.capacity,
+		Free:        p.index.free,
+		FreeByClass: make(map[string]api.Resources, len(p.classes.listed)),
+	}
+	if p.index.root != nil {
+		s.Largest = positive(p.index.root.node.maxFree)
+	}
+	for _, c := range p.classes.listed {
+		room := smaller(p.classes.ceilingLeft(c), p.classes.floorRoom(c, api.Resources{}))
+		s.FreeByClass[c.policy.Name] = positive(smaller(room, s.Free))
+	}
+	return s
+}
+
+// WorkerState is a worker in the dump of the process's state.
+type WorkerState struct {
+	Worker
+	Charged    api.Resources `json:"charged"`
+	Free       api.Resources `json:"free"` // negative where tasks take more than the worker has
+	UsedMemory int64         `json:"used_memory_mb"`
+	Leaving    bool          `json:"leaving,omitempty"`
+	Drained    bool          `json:"drained,omitempty"`
+	Probation  bool          `json:"probation,omitempty"`
+	// BlockedUntil is set while probation keeps new work away.
+	BlockedUntil time.Time   `json:"blocked_until,omitzero"`
+	Tasks        []TaskState `json:"tasks,omitempty"`
+}
+
+// TaskState is a reservation or running attempt in the dump.
+type TaskState struct {
+	Attempt api.AttemptID `json:"attempt"`
+	Class   string        `json:"class"`
+	Team    string        `json:"team"`
+	Charge  api.Resources `json:"charge"`
+	Running bool          `json:"running"`
+	Expires time.Time     `json:"expires,omitzero"` // of a reservation
+}
+
+// Dump returns the state of all held workers, sorted by name.
+func (p *Pool) Dump() []WorkerState {
+	states := make([]WorkerState, 0, len(p.workers))
+	for _, name := range p.Workers() {
+		w := p.workers[name]
+		state := WorkerState{
+			Worker:     w.Worker,
+			Charged:    w.charged,
+			Free:       w.free(),
+			UsedMemory: w.usedMemory,
+			Leaving:    p.leaving[name],
+			Drained:    p.drained[name],
+			Probation:  w.health.probation,
+		}
+		if until := w.health.blockedUntil(); until.After(p.now) {
+			state.BlockedUntil = until
+		}
+		for _, t := range w.tasks {
+			state.Tasks = append(state.Tasks, t.state())
+		}
+		states = append(states, state)
+	}
+	return states
+}
+
+func (t *task) state() TaskState {
+	s := TaskState{Attempt: t.spec.Attempt, Class: t.spec.Class, Team: t.spec.Team, Charge: t.charge, Running: t.running}
+	if !t.running {
+		s.Expires = t.expires
+	}
+	return s
+}
