--- a/internal/core/action.go
+++ b/internal/core/action.go
@@ -48,8 +48,9 @@
 	CommandStop       TaskCommand = "stop"
 )
 
-// ControlTask sends a command for a running attempt. A stopped or checkpointed
-// attempt is reported by TaskEnded.
+// ControlTask sends a command for a running attempt. The driver repeats it until
+// the worker answers or the lease is lost. A stopped or checkpointed attempt is
+// reported by TaskEnded.
 type ControlTask struct {
 	Worker  string
 	Epoch   uint64
@@ -57,7 +58,8 @@
 	Command TaskCommand
 }
 
-// AcknowledgeTasks lets a worker forget ended attempts.
+// AcknowledgeTasks lets a worker forget ended attempts. The driver repeats it
+// until the worker answers or the lease is lost.
 type AcknowledgeTasks struct {
 	Worker   string
 	Epoch    uint64
--- /dev/null
+++ b/internal/core/adopt.go
@@ -0,0 +1,141 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/message"
+	"github.com/fulmarlatch/fulmarlatch/internal/record"
+)
+
+// adoptJobs takes over logged jobs whose coordinator is gone or stopping. Each
+// job has one preferred adopter; if two processes try, the first record by offset
+// wins. This is the adopt step of spec/claim.pml.
+func (c *Core) adoptJobs() {
+	if !c.Ready() || !c.logUp || !c.caughtUp {
+		return
+	}
+	list := c.candidates()
+	for _, owner := range slices.SortedFunc(maps.Keys(c.jobs.byOwner), compareRefs) {
+		if !c.isAdoptable(owner) {
+			continue
+		}
+		jobs := c.jobs.byOwner[owner]
+		for _, id := range sortedKeys(jobs) {
+			j := jobs[id]
+			first, _ := choose(list, j.spec.ID, "")
+			if first == c.cfg.Self && c.now.Sub(j.adoptTried) >= adoptInterval {
+				j.adoptTried = c.now
+				c.append(record.Record{Adopt: &record.Adopt{JobID: j.spec.ID, Replaces: j.claim}})
+			}
+		}
+	}
+}
+
+// adoptInterval is the pause before an adoption is tried again.
+const adoptInterval = 5 * time.Second
+
+// isAdoptable reports whether a coordinator's jobs may be taken over.
+func (c *Core) isAdoptable(owner api.EntryRef) bool {
+	if owner == c.cfg.Self {
+		return false
+	}
+	if c.isUp(owner) {
+		return c.isStopping(owner)
+	}
+	since, ok := c.members.downSince[owner]
+	if !ok {
+		c.members.downSince[owner] = c.now
+		return false
+	}
+	return c.now.Sub(since) >= c.policy.timing.orphanGrace
+}
+
+func (c *Core) readAdopt(offset uint64, writer api.EntryRef, m record.Adopt) {
+	j := c.jobs.byID[m.JobID]
+	if j == nil || j.phase == phaseDone || j.claim != m.Replaces {
+		return
+	}
+	c.changeOwner(j, writer, offset)
+}
+
+// changeOwner moves a logged job to another coordinator.
+func (c *Core) changeOwner(j *job, owner api.EntryRef, claim uint64) {
+	wasMine := j.owner == c.cfg.Self
+	c.jobs.setOwner(j, owner, claim)
+	switch {
+	case owner == c.cfg.Self && !wasMine:
+		c.takeOver(j)
+	case owner != c.cfg.Self && wasMine:
+		c.giveUp(j)
+	}
+}
+
+// takeOver starts to coordinate a job. Attempts that the log names as started are
+// asked for at their holders before anything else is attempted.
+func (c *Core) takeOver(j *job) {
+	c.counters.Adopted++
+	c.logEvent("job_adopted", Field{"job", j.spec.ID})
+	gangWaits := j.spec.Kind == api.KindGang
+	for i := range j.tasks {
+		gangWaits = gangWaits && j.tasks[i].phase == taskWaiting
+	}
+	if gangWaits {
+		c.queue.Requeue(c.now, j.item(gangTask, true))
+		return
+	}
+	for i := range j.tasks {
+		switch j.tasks[i].phase {
+		case taskWaiting:
+			c.queue.Requeue(c.now, j.item(i, true))
+		case taskActive:
+			c.lookFor(j, i)
+		}
+	}
+	if j.cancelled {
+		c.cancelTasks(j)
+	}
+}
+
+// lookFor makes a stranded attempt of a task that the log names as started.
+func (c *Core) lookFor(j *job, number int) {
+	t := &j.tasks[number]
+	id := api.AttemptID{Job: j.spec.ID, Task: number, Number: t.attempts}
+	a := &attempt{
+		id:    id,
+		job:   j,
+		item:  j.item(number, true),
+		place: message.Place{Attempt: id, Worker: t.place.worker, Epoch: t.place.epoch, Boot: t.place.boot},
+	}
+	c.tries.add(a)
+	c.tries.bind(a)
+	c.count(a)
+	c.strand(a)
+}
+
+// giveUp stops coordinating a job that another process adopted. What runs goes on
+// under the new coordinator.
+func (c *Core) giveUp(j *job) {
+	for _, it := range j.items() {
+		c.queue.Cancel(it.Key)
+	}
+	j.parked = nil
+	for i := range j.tasks {
+		c.queue.Cancel(j.item(i, false).Key)
+		a := c.tries.byTask[taskRef{j.spec.ID, i}]
+		if a == nil {
+			continue
+		}
+		if a.phase == attemptLogging {
+			c.send(a.holder, message.Release{Attempts: []api.AttemptID{a.id}})
+		}
+		if !a.isCommitted() {
+			c.abandonOne(a)
+			continue
+		}
+		c.uncount(a)
+		c.tries.remove(a)
+	}
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,316 @@
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/bundle"
+	"github.com/fulmarlatch/fulmarlatch/internal/message"
+	"github.com/fulmarlatch/fulmarlatch/internal/placement"
+	"github.com/fulmarlatch/fulmarlatch/internal/queue"
+	"github.com/fulmarlatch/fulmarlatch/internal/record"
+)
+
+// Config is fixed for the life of a Core.
+type Config struct {
+	Self   api.EntryRef
+	Domain string // failure domain of the entry VM
+	Seed   uint64 // for sampling and jitter
+	// ResultRetention is how long the answers of finished jobs are kept for
+	// retries.
+	ResultRetention time.Duration
+	// KeyRetention is how long idempotency keys are kept. It must be at least
+	// the log's retention.
+	KeyRetention time.Duration
+	// RefreshInterval is the age at which live logged jobs are appended again.
+	// It must be less than half of the log's retention.
+	RefreshInterval time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultResultRetention = 10 * time.Minute
+	DefaultKeyRetention    = 2 * time.Hour
+	DefaultRefreshInterval = 15 * time.Minute
+)
+
+// Core is the whole decision state of one entry process. It is not safe for
+// concurrent use: the control goroutine owns it.
+type Core struct {
+	cfg Config
+	now time.Time
+	rng *rand.Rand
+
+	roll     uint64
+	policy   *policy
+	stopping bool
+	stopped  bool
+	logUp    bool
+	caughtUp bool
+
+	queue *queue.Queue
+	pool  *placement.Pool
+
+	members  members
+	workers  workers
+	held     heldTasks
+	jobs     jobTable
+	tries    attemptTable
+	requests requestTable
+
+	lastSecond time.Time
+	out        []Action
+	local      []message.Message // messages of this process to itself
+	counters   Counters
+}
+
+// New returns a core without a bundle, peers or workers.
+func New(cfg Config) *Core {
+	if cfg.ResultRetention == 0 {
+		cfg.ResultRetention = DefaultResultRetention
+	}
+	if cfg.KeyRetention == 0 {
+		cfg.KeyRetention = DefaultKeyRetention
+	}
+	if cfg.RefreshInterval == 0 {
+		cfg.RefreshInterval = DefaultRefreshInterval
+	}
+	return &Core{
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, cfg.Self.Incarnation)),
+		queue:    queue.New(cfg.Seed),
+		pool:     placement.New(cfg.Seed),
+		members:  newMembers(),
+		workers:  newWorkers(),
+		held:     newHeldTasks(),
+		jobs:     newJobTable(),
+		tries:    newAttemptTable(),
+		requests: newRequestTable(),
+	}
+}
+
+// Step takes one event at the given time and returns the actions that follow.
+// The time must not go back between calls.
+func (c *Core) Step(now time.Time, ev Event) []Action {
+	c.now = now
+	c.handle(ev)
+	c.deliverLocal()
+	c.dispatch()
+	c.checkStopped()
+	out := c.out
+	c.out = nil
+	return out
+}
+
+func (c *Core) handle(ev Event) {
+	switch e := ev.(type) {
+	case Tick:
+		c.tick()
+	case BundleChanged:
+		c.setBundle(e)
+	case VMsChanged:
+		c.changeVMs(e)
+	case PeerUp:
+		c.peerUp(e)
+	case PeerDown:
+		c.peerDown(e.Ref)
+	case PeerMessage:
+		c.receive(e.From, e.Message)
+	case LeaseGranted:
+		c.leaseGranted(e.Grant)
+	case LeaseRefused:
+		c.leaseRefused(e)
+	case LeaseLost:
+		c.leaseLost(e.Worker, e.Epoch)
+	case LeaseReleased:
+		c.leaseReleased(e)
+	case TaskStarted:
+		c.taskStarted(e)
+	case TaskStartRefused:
+		c.taskStartRefused(e)
+	case TaskEnded:
+		c.taskEnded(e)
+	case TaskUsage:
+		c.taskUsage(e)
+	case CallerRequest:
+		c.callerRequest(e)
+	case CallerGone:
+		c.callerGone(e.Token)
+	case RecordRead:
+		c.readRecord(e.Offset, e.Record)
+	case LogCaughtUp:
+		c.caughtUp = true
+	case LogState:
+		c.logUp = e.Up
+	case LogRetention:
+		c.setRetention(e.Retention)
+	case StopRequested:
+		c.stop()
+	}
+}
+
+// receive handles a message from an entry process, or from this one.
+func (c *Core) receive(from api.EntryRef, m message.Message) {
+	switch m := m.(type) {
+	case message.Summary:
+		c.peerSummary(from, m)
+	case message.Reserve:
+		c.reserve(from, m)
+	case message.Release:
+		c.release(m)
+	case message.Commit:
+		c.commitReserved(from, m)
+	case message.Acknowledge:
+		c.acknowledge(from, m)
+	case message.CancelAttempt:
+		c.stopHeld(m.Attempt)
+	case message.QueryAttempt:
+		c.queryHeld(from, m)
+	case message.HandOver:
+		c.handedOver(m)
+	case message.Reserved:
+		c.reserved(from, m)
+	case message.Started:
+		c.attemptStarted(m.Attempt)
+	case message.StartRefused:
+		c.attemptRefused(m)
+	case message.Ended:
+		c.attemptEnded(from, m.Report)
+	case message.WorkerHeld:
+		c.workerHeld(from, m)
+	case message.AttemptState:
+		c.attemptState(from, m)
+	case message.Forward:
+		c.forwarded(from, m)
+	case message.ForwardAnswer:
+		c.forwardAnswer(m)
+	}
+}
+
+// tick does the work that depends on time only.
+func (c *Core) tick() {
+	c.requeueDelayed()
+	c.expireQueue()
+	c.expireReservations()
+	c.timeOutReserving()
+	c.pursueLeases()
+	c.tries.failures = 0
+	if c.now.Sub(c.lastSecond) < time.Second {
+		return
+	}
+	c.lastSecond = c.now
+	c.stopOrphans()
+	c.relievePressure()
+	c.resendEnded()
+	c.queryStranded()
+	c.adoptJobs()
+	c.refreshJobs()
+	c.forgetFinished()
+	c.updateUseElsewhere()
+}
+
+func (c *Core) emit(a Action) { c.out = append(c.out, a) }
+
+// send passes a message to an entry process; messages to this one are handled
+// before Step returns.
+func (c *Core) send(to api.EntryRef, m message.Message) {
+	if to == c.cfg.Self {
+		c.local = append(c.local, m)
+		return
+	}
+	c.emit(Send{To: to, Message: m, Urgent: isUrgent(m)})
+}
+
+// inlineEnded is the largest answer that travels on the urgent connection.
+const inlineEnded = 16 << 10
+
+func isUrgent(m message.Message) bool {
+	switch m := m.(type) {
+	case message.Ended:
+		return len(m.Report.Body) <= inlineEnded
+	case message.ForwardAnswer:
+		return len(m.Answer.Body) <= inlineEnded
+	}
+	return true
+}
+
+func (c *Core) deliverLocal() {
+	for len(c.local) > 0 {
+		batch := c.local
+		c.local = nil
+		for _, m := range batch {
+			c.receive(c.cfg.Self, m)
+		}
+	}
+}
+
+// append adds a record to the work stream under the next sequence number.
+func (c *Core) append(r record.Record) {
+	c.jobs.sequence++
+	r.Writer = c.cfg.Self
+	r.Sequence = c.jobs.sequence
+	c.counters.Appends++
+	c.emit(Append{Records: []record.Record{r}})
+}
+
+func (c *Core) logEvent(event string, fields ...Field) {
+	c.emit(LogEvent{Event: event, Fields: fields})
+}
+
+// jitter returns a random duration of at least half and less than d.
+func (c *Core) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(c.rng.Int64N(int64(d/2)+1))
+}
+
+// setRetention fits the intervals that depend on the log to its retention: keys
+// are kept as long as the log keeps their claims, and live jobs are appended again
+// well before the log drops them.
+func (c *Core) setRetention(retention time.Duration) {
+	if retention <= 0 {
+		return
+	}
+	c.cfg.KeyRetention = retention
+	c.cfg.RefreshInterval = retention / 4
+}
+
+// Ready reports whether callers may be served.
+func (c *Core) Ready() bool { return c.policy != nil && !c.stopping }
+
+// policy is the bundle in force in the form that decisions need.
+type policy struct {
+	classes map[string]bundle.Class
+	timing  timing
+}
+
+// timing holds the bundle's intervals.
+type timing struct {
+	workerLease, renew, taskLease               time.Duration
+	reserveTimeout, reservationTTL, orphanGrace time.Duration
+}
+
+func (c *Core) setBundle(e BundleChanged) {
+	c.roll = e.Roll
+	classes := make(map[string]bundle.Class, len(e.Bundle.Classes))
+	for _, class := range e.Bundle.Classes {
+		classes[class.Name] = class
+	}
+	c.policy = &policy{classes: classes, timing: newTiming(e.Bundle.Timing)}
+	c.pool.SetPolicy(e.Bundle.Classes, e.Bundle.Fleet)
+	for _, it := range c.queue.SetPolicy(e.Bundle.Classes, e.Bundle.Teams) {
+		c.refuseRemoved(it)
+	}
+	c.chooseHolders()
+}
+
+func newTiming(t bundle.Timing) timing {
+	ms := func(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+	return timing{
+		workerLease:    ms(t.WorkerLeaseMS),
+		renew:          ms(t.LeaseRenewMS),
+		taskLease:      ms(t.TaskLeaseMS),
+		reserveTimeout: ms(t.ReserveTimeoutMS),
+		reservationTTL: ms(t.ReservationTTLMS),
+		orphanGrace:    ms(t.OrphanGraceMS),
+	}
+}
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -123,6 +123,9 @@
 // LogState reports whether the platform's log answers.
 type LogState struct{ Up bool }
 
+// LogRetention reports how long the platform's log keeps records.
+type LogRetention struct{ Retention time.Duration }
+
 // StopRequested starts a graceful shutdown.
 type StopRequested struct{}
 
@@ -145,4 +148,5 @@
 func (RecordRead) isEvent()       {}
 func (LogCaughtUp) isEvent()      {}
 func (LogState) isEvent()         {}
+func (LogRetention) isEvent()     {}
 func (StopRequested) isEvent()    {}
--- /dev/null
+++ b/internal/core/holder.go
@@ -0,0 +1,325 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/fulmarlatch/fulmarlatch/internal/message"
+	"github.com/fulmarlatch/fulmarlatch/internal/placement"
+)
+
+// heldTasks is what this process knows, as the holder, about reservations and
+// attempts on the workers it holds.
+type heldTasks struct {
+	reservations map[api.AttemptID]reservation
+	tasks        map[api.AttemptID]*heldTask
+	byWorker     map[string]map[api.AttemptID]*heldTask
+}
+
+// reservation is room that was promised to a coordinator.
+type reservation struct {
+	spec  api.TaskSpec
+	place message.Place
+}
+
+// heldPhase is the state of an attempt at a held worker.
+type heldPhase int
+
+const (
+	heldStarting heldPhase = iota // StartTask is not answered yet
+	heldRunning
+	heldEnded // waits for the coordinator's acknowledgement
+)
+
+// heldTask is an attempt that was committed or listed by the worker.
+type heldTask struct {
+	spec    api.TaskSpec // payload unset
+	place   message.Place
+	phase   heldPhase
+	stopped bool // a stop was sent
+	report  api.TaskReport
+	endedAt time.Time
+}
+
+func newHeldTasks() heldTasks {
+	return heldTasks{
+		reservations: make(map[api.AttemptID]reservation),
+		tasks:        make(map[api.AttemptID]*heldTask),
+		byWorker:     make(map[string]map[api.AttemptID]*heldTask),
+	}
+}
+
+func (h *heldTasks) add(t *heldTask) {
+	h.tasks[t.spec.Attempt] = t
+	on := h.byWorker[t.place.Worker]
+	if on == nil {
+		on = make(map[api.AttemptID]*heldTask)
+		h.byWorker[t.place.Worker] = on
+	}
+	on[t.spec.Attempt] = t
+}
+
+func (h *heldTasks) remove(t *heldTask) {
+	delete(h.tasks, t.spec.Attempt)
+	on := h.byWorker[t.place.Worker]
+	delete(on, t.spec.Attempt)
+	if len(on) == 0 {
+		delete(h.byWorker, t.place.Worker)
+	}
+}
+
+func (h *heldTasks) dropWorker(name string) {
+	for id := range h.byWorker[name] {
+		delete(h.tasks, id)
+	}
+	delete(h.byWorker, name)
+	for id, r := range h.reservations {
+		if r.place.Worker == name {
+			delete(h.reservations, id)
+		}
+	}
+}
+
+// reserve answers a coordinator that asks for room. Nothing starts.
+func (c *Core) reserve(from api.EntryRef, m message.Reserve) {
+	if c.policy == nil || c.stopping && from != c.cfg.Self {
+		reason := fault.New(fault.NotReady, "the entry process takes no new work", "ask another holder")
+		c.send(from, message.Reserved{Refused: m.Attempts, Reason: reason})
+		return
+	}
+	requests := c.placementRequests(m)
+	expires := c.now.Add(time.Duration(m.TTLMS) * time.Millisecond)
+	var answer message.Reserved
+	if m.AllOrNone {
+		answer = c.reserveAll(m, requests, expires)
+	} else {
+		answer = c.reserveEach(requests, expires)
+	}
+	if len(answer.Refused) > 0 && m.Preempt {
+		c.preempt(requests[len(answer.Places)])
+	}
+	c.send(from, answer)
+}
+
+func (c *Core) placementRequests(m message.Reserve) []placement.Request {
+	rank := c.policy.classes[m.Spec.Class].Rank
+	requests := make([]placement.Request, len(m.Attempts))
+	for i, id := range m.Attempts {
+		spec := m.Spec
+		spec.Attempt = id
+		requests[i] = placement.Request{Spec: spec, Rank: rank}
+	}
+	return requests
+}
+
+func (c *Core) reserveAll(m message.Reserve, requests []placement.Request, expires time.Time) message.Reserved {
+	names, err := c.pool.ReserveAll(c.now, requests, expires)
+	if err != nil {
+		return message.Reserved{Refused: m.Attempts, Reason: fault.As(err)}
+	}
+	var answer message.Reserved
+	for i, name := range names {
+		answer.Places = append(answer.Places, c.keepReservation(requests[i].Spec, name))
+	}
+	return answer
+}
+
+func (c *Core) reserveEach(requests []placement.Request, expires time.Time) message.Reserved {
+	var answer message.Reserved
+	for _, r := range requests {
+		name, err := c.pool.Reserve(c.now, r, expires)
+		if err != nil {
+			answer.Refused = append(answer.Refused, r.Spec.Attempt)
+			answer.Reason = fault.As(err)
+			continue
+		}
+		answer.Places = append(answer.Places, c.keepReservation(r.Spec, name))
+	}
+	return answer
+}
+
+func (c *Core) keepReservation(spec api.TaskSpec, worker string) message.Place {
+	w := c.workers.byName[worker]
+	place := message.Place{Attempt: spec.Attempt, Worker: worker, Epoch: w.epoch, Boot: w.boot}
+	c.held.reservations[spec.Attempt] = reservation{spec: spec, place: place}
+	return place
+}
+
+// preempt makes room for an urgent request by stopping less urgent tasks. The
+// coordinator asks again when the room is free.
+func (c *Core) preempt(r placement.Request) {
+	for _, v := range c.pool.Victims(c.now, r) {
+		t := c.held.tasks[v.Attempt]
+		if t == nil || t.phase != heldRunning || t.stopped || !mayRunAgain(t.spec) {
+			continue
+		}
+		t.stopped = v.Step != placement.StepThrottle
+		c.counters.Preempted++
+		c.control(t, TaskCommand(v.Step))
+	}
+}
+
+// mayRunAgain reports whether another attempt of the task is allowed after a
+// first one has started.
+func mayRunAgain(spec api.TaskSpec) bool { return spec.Idempotent }
+
+func (c *Core) control(t *heldTask, command TaskCommand) {
+	c.emit(ControlTask{Worker: t.place.Worker, Epoch: t.place.Epoch, Attempt: t.spec.Attempt, Command: command})
+}
+
+func (c *Core) release(m message.Release) {
+	for _, id := range m.Attempts {
+		c.dropReservation(id)
+	}
+}
+
+func (c *Core) dropReservation(id api.AttemptID) bool {
+	if _, ok := c.held.reservations[id]; !ok {
+		return false
+	}
+	delete(c.held.reservations, id)
+	c.pool.Release(id)
+	c.queue.RoomFreed(c.now)
+	return true
+}
+
+func (c *Core) expireReservations() {
+	for _, id := range c.pool.Expire(c.now) {
+		delete(c.held.reservations, id)
+	}
+}
+
+// commitReserved starts a reserved attempt. Without a live reservation in the
+// same epoch the attempt is refused, because its coordinator may have been
+// replaced meanwhile. This is the commit step of spec/claim.pml.
+func (c *Core) commitReserved(from api.EntryRef, m message.Commit) {
+	id := m.Place.Attempt
+	if t := c.held.tasks[id]; t != nil {
+		if t.phase == heldRunning {
+			c.send(from, message.Started{Attempt: id})
+		}
+		return
+	}
+	r, ok := c.held.reservations[id]
+	w := c.workers.byName[m.Place.Worker]
+	if !ok || r.place != m.Place || w == nil || w.phase != leaseHeld || w.epoch != m.Place.Epoch {
+		c.refuseCommit(from, id)
+		return
+	}
+	delete(c.held.reservations, id)
+	if _, ok := c.pool.Start(c.now, id); !ok {
+		c.refuseCommit(from, id)
+		return
+	}
+	c.held.add(&heldTask{spec: r.spec, place: r.place})
+	spec := r.spec
+	spec.Payload = m.Payload
+	c.emit(StartTask{Worker: r.place.Worker, Epoch: r.place.Epoch, Spec: spec})
+}
+
+func (c *Core) refuseCommit(from api.EntryRef, id api.AttemptID) {
+	c.dropReservation(id)
+	reason := fault.New(fault.StaleEpoch, fmt.Sprintf("attempt %s has no live reservation", id), "reserve again")
+	c.send(from, message.StartRefused{Attempt: id, Reason: reason})
+}
+
+func (c *Core) heldAt(id api.AttemptID, worker string, epoch uint64) *heldTask {
+	t := c.held.tasks[id]
+	if t == nil || t.place.Worker != worker || t.place.Epoch != epoch {
+		return nil
+	}
+	return t
+}
+
+func (c *Core) taskStarted(e TaskStarted) {
+	t := c.heldAt(e.Attempt, e.Worker, e.Epoch)
+	if t == nil || t.phase != heldStarting {
+		return
+	}
+	t.phase = heldRunning
+	c.send(t.spec.Coordinator, message.Started{Attempt: e.Attempt})
+	if t.stopped {
+		c.control(t, CommandStop)
+	}
+}
+
+func (c *Core) taskStartRefused(e TaskStartRefused) {
+	t := c.heldAt(e.Attempt, e.Worker, e.Epoch)
+	if t == nil || t.phase != heldStarting {
+		return
+	}
+	c.held.remove(t)
+	c.pool.Release(e.Attempt)
+	c.queue.RoomFreed(c.now)
+	c.send(t.spec.Coordinator, message.StartRefused{Attempt: e.Attempt, Reason: fault.As(e.Reason)})
+}
+
+func (c *Core) taskEnded(e TaskEnded) {
+	t := c.heldAt(e.Report.Spec.Attempt, e.Worker, e.Epoch)
+	if t == nil || t.phase == heldEnded {
+		return
+	}
+	t.phase = heldEnded
+	t.endedAt = c.now
+	t.report = e.Report
+	t.report.Spec.Payload = nil
+	t.report.Spec.Coordinator = t.spec.Coordinator
+	c.pool.Release(t.spec.Attempt)
+	if !wasInterrupted(e.Report) {
+		ok := e.Report.Outcome == api.OutcomeCompleted
+		c.pool.RecordOutcome(c.now, e.Worker, t.spec.Class, t.spec.Team, ok)
+	}
+	c.queue.RoomFreed(c.now)
+	c.send(t.spec.Coordinator, message.Ended{Report: t.report})
+}
+
+// Errors that a worker gives for a task that was ended on request.
+const (
+	errorStopped      = "stopped"
+	errorCheckpointed = "checkpointed"
+)
+
+// wasInterrupted reports whether a task ended because it was told to.
+func wasInterrupted(r api.TaskReport) bool {
+	return r.Error == errorStopped || r.Error == errorCheckpointed
+}
+
+func (c *Core) taskUsage(e TaskUsage) {
+	for id, used := range e.Used {
+		if c.heldAt(id, e.Worker, e.Epoch) != nil {
+			c.pool.RecordUse(c.now, e.Worker, id, used)
+		}
+	}
+}
+
+// acknowledge lets the worker forget an ended attempt.
+func (c *Core) acknowledge(from api.EntryRef, m message.Acknowledge) {
+	for _, id := range m.Attempts {
+		t := c.held.tasks[id]
+		if t != nil && t.phase == heldEnded && t.spec.Coordinator == from {
+			c.forgetHeld(t)
+		}
+	}
+}
+
+func (c *Core) forgetHeld(t *heldTask) {
+	c.held.remove(t)
+	c.emit(AcknowledgeTasks{Worker: t.place.Worker, Epoch: t.place.Epoch, Attempts: []api.AttemptID{t.spec.Attempt}})
+}
+
+// stopHeld stops an attempt, or drops its reservation.
+func (c *Core) stopHeld(id api.AttemptID) {
+	if c.dropReservation(id) {
+		return
+	}
+	t := c.held.tasks[id]
+	if t == nil || t.phase == heldEnded || t.stopped {
+		return
+	}
+	t.stopped = true
+	if t.phase == heldRunning {
+		c.control(t, CommandStop)
+	}
+}
--- /dev/null
+++ b/internal/core/job.go
@@ -0,0 +1,282 @@
+package core
+
+import (
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/queue"
+)
+
+// gangTask is the task number of the queue item that stands for a whole gang.
+const gangTask = -1
+
+// jobPhase is the state of a job.
+type jobPhase int
+
+const (
+	// phaseLogging waits for the job's own claim or accept record.
+	phaseLogging jobPhase = iota
+	phaseOpen
+	phaseDone
+)
+
+// taskPhase is the state of a task.
+type taskPhase int
+
+const (
+	taskWaiting taskPhase = iota
+	taskActive            // has an attempt that may run
+	taskDone
+)
+
+// task is one task of a job.
+type task struct {
+	phase    taskPhase
+	attempts int // number of the last attempt
+	outcome  api.Outcome
+	// place is where the last attempt of a logged job may run, as the log says.
+	place placeRef
+}
+
+// placeRef names a worker under one epoch and boot.
+type placeRef struct {
+	worker string
+	epoch  uint64
+	boot   uint64
+}
+
+// waiter is a caller, here or behind a peer, that waits for an answer.
+type waiter struct {
+	token uint64
+	from  api.EntryRef
+}
+
+// job is a job that this process coordinates, or a logged job of any process.
+type job struct {
+	spec  api.Job
+	phase jobPhase
+	// owner is the coordinator. For a logged job the log decides it.
+	owner api.EntryRef
+	// claim is the offset of the record that made owner the coordinator.
+	claim     uint64
+	submitted time.Time
+	deadline  time.Time
+	started   time.Time
+	ran       bool // some attempt may have run
+	tasks     []task
+	open      int // tasks that are not done
+	parked    []queue.Item
+	waiters   []waiter
+	final     *api.Answer
+	doneAt    time.Time
+	cancelled bool
+	// keep is true if callers may come back for the answer.
+	keep      bool
+	refreshed time.Time
+	// adoptTried is when this process last tried to adopt the job.
+	adoptTried time.Time
+}
+
+func newJob(spec api.Job, owner api.EntryRef, now time.Time) *job {
+	return &job{
+		spec:      spec,
+		owner:     owner,
+		submitted: now,
+		refreshed: now,
+		tasks:     make([]task, spec.Tasks),
+		open:      spec.Tasks,
+	}
+}
+
+// jobTable holds the jobs by id.
+type jobTable struct {
+	byID     map[string]*job
+	byOwner  map[api.EntryRef]map[string]*job // logged jobs that are not done
+	finished []*job                           // in order of doneAt
+	// bodyBytes is the size of the kept answers.
+	bodyBytes int
+	sequence  uint64                  // of this process's records
+	read      map[api.EntryRef]uint64 // last sequence read from each writer
+	keys      map[keyRef]*claim
+}
+
+// keyRef names an idempotency key of a team.
+type keyRef struct{ team, key string }
+
+// claim is the first use of an idempotency key.
+type claim struct {
+	jobID  string
+	owner  api.EntryRef
+	readAt time.Time
+	won    bool // the claim was read from the log
+}
+
+func newJobTable() jobTable {
+	return jobTable{
+		byID:    make(map[string]*job),
+		byOwner: make(map[api.EntryRef]map[string]*job),
+		read:    make(map[api.EntryRef]uint64),
+		keys:    make(map[keyRef]*claim),
+	}
+}
+
+// setOwner moves an unfinished logged job to a coordinator.
+func (t *jobTable) setOwner(j *job, owner api.EntryRef, claim uint64) {
+	t.dropOwner(j)
+	j.owner, j.claim = owner, claim
+	of := t.byOwner[owner]
+	if of == nil {
+		of = make(map[string]*job)
+		t.byOwner[owner] = of
+	}
+	of[j.spec.ID] = j
+}
+
+func (t *jobTable) dropOwner(j *job) {
+	of := t.byOwner[j.owner]
+	delete(of, j.spec.ID)
+	if len(of) == 0 {
+		delete(t.byOwner, j.owner)
+	}
+}
+
+// Bounds on the answers of finished jobs, which are kept for retries.
+const (
+	maxFinishedJobs = 20000
+	maxFinishedBody = 8 << 20 // bytes
+)
+
+// finishJob gives a job its final answer and tells everyone who waits.
+func (c *Core) finishJob(j *job, answer api.Answer) {
+	if j.phase == phaseDone {
+		return
+	}
+	answer.JobID = j.spec.ID
+	if !j.started.IsZero() {
+		answer.WaitMS = j.started.Sub(j.submitted).Milliseconds()
+	}
+	j.phase = phaseDone
+	j.doneAt = c.now
+	j.final = &answer
+	j.spec.Payload = nil
+	c.counters.count(answer.Outcome)
+	c.jobs.dropOwner(j)
+	for _, w := range j.waiters {
+		c.reply(w, answer)
+	}
+	j.waiters = nil
+	if !j.keep {
+		delete(c.jobs.byID, j.spec.ID)
+		return
+	}
+	c.jobs.finished = append(c.jobs.finished, j)
+	c.jobs.bodyBytes += len(answer.Body)
+}
+
+// forgetFinished drops the oldest finished jobs past their retention, and their
+// answers when these take too much memory.
+func (c *Core) forgetFinished() {
+	t := &c.jobs
+	drop := 0
+	for _, j := range t.finished {
+		tooMany := len(t.finished)-drop > maxFinishedJobs
+		if c.now.Sub(j.doneAt) < c.cfg.ResultRetention && !tooMany {
+			break
+		}
+		drop++
+		t.bodyBytes -= len(j.final.Body)
+		if t.byID[j.spec.ID] == j {
+			delete(t.byID, j.spec.ID)
+		}
+	}
+	t.finished = append(t.finished[:0:0], t.finished[drop:]...)
+	for _, j := range t.finished {
+		if t.bodyBytes <= maxFinishedBody {
+			break
+		}
+		t.bodyBytes -= len(j.final.Body)
+		j.dropBody()
+	}
+	for ref, k := range t.keys {
+		if k.won && c.now.Sub(k.readAt) >= c.cfg.KeyRetention {
+			delete(t.keys, ref)
+		}
+	}
+}
+
+// dropBody replaces the kept answer by one that says that it is gone.
+func (j *job) dropBody() {
+	if len(j.final.Body) == 0 {
+		return
+	}
+	answer := *j.final
+	answer.Body = nil
+	answer.Error = errAnswerDropped(j.spec.ID)
+	j.final = &answer
+}
+
+// progress returns the answer for a job that is not done.
+func (j *job) progress() api.Answer {
+	return api.Answer{JobID: j.spec.ID, Outcome: api.OutcomeAccepted, Tasks: j.counts()}
+}
+
+// counts returns the number of tasks by state.
+func (j *job) counts() *api.TaskCounts {
+	counts := &api.TaskCounts{}
+	for i := range j.tasks {
+		switch j.tasks[i].phase {
+		case taskWaiting:
+			counts.Waiting++
+		case taskActive:
+			counts.Running++
+		case taskDone:
+			countOutcome(counts, j.tasks[i].outcome)
+		}
+	}
+	return counts
+}
+
+func countOutcome(counts *api.TaskCounts, o api.Outcome) {
+	switch o {
+	case api.OutcomeCompleted:
+		counts.Completed++
+	case api.OutcomeFailed:
+		counts.Failed++
+	case api.OutcomeUnknown:
+		counts.Unknown++
+	default:
+		counts.Cancelled++
+	}
+}
+
+// item returns the queue item of a task, or of the whole gang.
+func (j *job) item(taskNumber int, retry bool) queue.Item {
+	tasks := 1
+	if taskNumber == gangTask {
+		tasks = j.spec.Tasks
+	}
+	return queue.Item{
+		Key:       queue.Key{JobID: j.spec.ID, Task: taskNumber},
+		Team:      j.spec.Team,
+		Class:     j.spec.Class,
+		Kind:      j.spec.Kind,
+		Resources: j.spec.Resources,
+		Tasks:     tasks,
+		Submitted: j.submitted,
+		Deadline:  j.deadline,
+		RunTime:   time.Duration(j.spec.RunTimeMS) * time.Millisecond,
+		Retry:     retry,
+	}
+}
+
+// items returns the queue items of all tasks.
+func (j *job) items() []queue.Item {
+	if j.spec.Kind == api.KindGang {
+		return []queue.Item{j.item(gangTask, false)}
+	}
+	list := make([]queue.Item, j.spec.Tasks)
+	for i := range list {
+		list[i] = j.item(i, false)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/core/members.go
@@ -0,0 +1,197 @@
+package core
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/message"
+)
+
+// members is what this process knows of the other entry processes.
+type members struct {
+	peers map[string]*peerState
+	// downSince tells when an incarnation was found down.
+	downSince map[api.EntryRef]time.Time
+	// leaving holds the entry VMs that the VM list reports as leaving or gone.
+	leaving map[string]bool
+}
+
+// peerState is an entry process with a working link.
+type peerState struct {
+	ref     api.EntryRef
+	domain  string
+	summary message.Summary
+	// promised is what was asked of the peer since its last summary.
+	promised api.Resources
+}
+
+func newMembers() members {
+	return members{
+		peers:     make(map[string]*peerState),
+		downSince: make(map[api.EntryRef]time.Time),
+		leaving:   make(map[string]bool),
+	}
+}
+
+// isUp reports whether the incarnation is this process or has a working link.
+func (c *Core) isUp(ref api.EntryRef) bool {
+	if ref == c.cfg.Self {
+		return true
+	}
+	p := c.members.peers[ref.Name]
+	return p != nil && p.ref == ref
+}
+
+// isStopping reports whether an incarnation announced its shutdown.
+func (c *Core) isStopping(ref api.EntryRef) bool {
+	if ref == c.cfg.Self {
+		return c.stopping
+	}
+	p := c.members.peers[ref.Name]
+	return p != nil && p.ref == ref && (p.summary.Stopping || c.members.leaving[ref.Name])
+}
+
+func (c *Core) peerUp(e PeerUp) {
+	if old := c.members.peers[e.Ref.Name]; old != nil && old.ref != e.Ref {
+		c.peerDown(old.ref)
+	}
+	c.members.peers[e.Ref.Name] = &peerState{ref: e.Ref, domain: e.Domain}
+	delete(c.members.downSince, e.Ref)
+	c.logEvent("peer_up", Field{"peer", e.Ref.String()}, Field{"domain", e.Domain})
+	c.chooseHolders()
+	c.resendEndedTo(e.Ref)
+	c.announceHeld(e.Ref)
+}
+
+func (c *Core) peerDown(ref api.EntryRef) {
+	p := c.members.peers[ref.Name]
+	if p == nil || p.ref != ref {
+		return
+	}
+	delete(c.members.peers, ref.Name)
+	c.members.downSince[ref] = c.now
+	c.logEvent("peer_down", Field{"peer", ref.String()})
+	c.holderDown(ref)
+	c.forwardsLost(ref)
+	c.requests.dropWaitersOf(ref)
+	c.chooseHolders()
+}
+
+func (c *Core) peerSummary(from api.EntryRef, s message.Summary) {
+	p := c.members.peers[from.Name]
+	if p == nil || p.ref != from {
+		return
+	}
+	wasStopping := p.summary.Stopping
+	roomier := s.Free.DominantShare(s.Capacity) > p.summary.Free.DominantShare(p.summary.Capacity)
+	p.summary = s
+	p.promised = api.Resources{}
+	if s.Stopping != wasStopping {
+		c.chooseHolders()
+	}
+	if roomier {
+		c.queue.RoomFreed(c.now)
+	}
+}
+
+// livePeers returns the peers that take new work, sorted by name.
+func (c *Core) livePeers() []*peerState {
+	var live []*peerState
+	for _, p := range c.members.peers {
+		if !c.isStopping(p.ref) {
+			live = append(live, p)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].ref.Name < live[j].ref.Name })
+	return live
+}
+
+// candidate is an entry process that can be chosen by rendezvous hashing.
+type candidate struct {
+	ref    api.EntryRef
+	domain string
+}
+
+// candidates returns the live entry processes, this one included unless it is
+// stopping, sorted by name.
+func (c *Core) candidates() []candidate {
+	var list []candidate
+	if !c.stopping {
+		list = append(list, candidate{ref: c.cfg.Self, domain: c.cfg.Domain})
+	}
+	for _, p := range c.livePeers() {
+		list = append(list, candidate{ref: p.ref, domain: p.domain})
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.ref.Name < b.ref.Name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// choose returns the first and the second choice among the candidates for a
+// subject. Candidates in the subject's own failure domain come first, because
+// links between failure domains are slow and cost money.
+func choose(list []candidate, subject, domain string) (first, second api.EntryRef) {
+	var best, next uint64
+	for _, cand := range list {
+		score := rendezvousScore(subject, cand.ref.Name)
+		if cand.domain == domain {
+			score |= sameDomainBit
+		}
+		switch {
+		case score > best:
+			second, next = first, best
+			first, best = cand.ref, score
+		case score > next:
+			second, next = cand.ref, score
+		}
+	}
+	return first, second
+}
+
+// sameDomainBit puts candidates of the subject's failure domain above others.
+const sameDomainBit = 1 << 63
+
+func rendezvousScore(subject, name string) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(subject)
+	_, _ = h.WriteString("\x00")
+	_, _ = h.WriteString(name)
+	return h.Sum64()>>1 | 1
+}
+
+// updateUseElsewhere tells the queue what teams use through other processes.
+func (c *Core) updateUseElsewhere() {
+	use := make(map[string]api.Resources)
+	for _, p := range c.members.peers {
+		// A peer sends no summary while its own does not change, so what was
+		// asked of it must not stay subtracted.
+		p.promised = api.Resources{}
+		for team, amount := range p.summary.TeamUse {
+			use[team] = use[team].Add(amount)
+		}
+	}
+	c.queue.SetUseElsewhere(use)
+}
+
+// Summary returns the content of the next heartbeat.
+func (c *Core) Summary() message.Summary {
+	s := c.pool.Summary()
+	return message.Summary{
+		Stopping:    c.stopping,
+		Roll:        c.roll,
+		Held:        c.workers.heldCount,
+		Capacity:    s.Capacity,
+		Free:        s.Free,
+		Largest:     s.Largest,
+		FreeByClass: s.FreeByClass,
+		TeamUse:     c.tries.teamUseCopy(),
+	}
+}
--- /dev/null
+++ b/internal/core/orphans.go
@@ -0,0 +1,146 @@
+package core
+
+import (
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/message"
+)
+
+// endedRetention is how long the answer of an unlogged attempt is kept after
+// its coordinator is gone.
+const endedRetention = 10 * time.Minute
+
+// bodyRetention bounds the memory for answers whose coordinator is gone. The end
+// itself is kept longer, because it proves that the attempt has run.
+const bodyRetention = time.Minute
+
+// adoptListed takes over the tasks that a worker listed with its lease.
+func (c *Core) adoptListed(w *workerState, reports []api.TaskReport) {
+	for _, r := range reports {
+		r.Spec.Payload = nil
+		t := &heldTask{
+			spec:   r.Spec,
+			place:  message.Place{Attempt: r.Spec.Attempt, Worker: w.vm.Name, Epoch: w.epoch, Boot: w.boot},
+			phase:  heldRunning,
+			report: r,
+		}
+		if r.State == api.TaskEnded {
+			t.phase = heldEnded
+			t.endedAt = c.now
+		} else {
+			c.pool.Adopt(c.now, w.vm.Name, r.Spec)
+		}
+		c.held.add(t)
+		if t.phase == heldEnded {
+			c.send(t.spec.Coordinator, message.Ended{Report: r})
+		}
+	}
+}
+
+// queryHeld answers a coordinator that lost track of an attempt. An attempt that
+// was only reserved is voided, so that a late commit is refused. This is the
+// query step of spec/claim.pml.
+func (c *Core) queryHeld(from api.EntryRef, m message.QueryAttempt) {
+	answer := message.AttemptState{Attempt: m.Attempt, Status: message.AttemptNotHeld}
+	w := c.workers.byName[m.Worker]
+	if w == nil || w.phase != leaseHeld {
+		c.send(from, answer)
+		return
+	}
+	t := c.held.tasks[m.Attempt]
+	switch {
+	case t != nil:
+		t.spec.Coordinator = from
+		t.report.Spec.Coordinator = from
+		if t.phase == heldEnded {
+			c.send(from, message.Ended{Report: t.report})
+			return
+		}
+		answer.Status = message.AttemptRunning
+		answer.Place = t.place
+	case m.Boot != w.boot:
+		answer.Status = message.AttemptLost
+	default:
+		c.dropReservation(m.Attempt)
+		answer.Status = message.AttemptVoid
+	}
+	c.send(from, answer)
+}
+
+// stopOrphans stops idempotent unlogged attempts whose coordinator has been down
+// for the grace time, and forgets their answers. Logged attempts wait for the
+// process that adopts the job.
+func (c *Core) stopOrphans() {
+	if c.policy == nil {
+		return
+	}
+	for _, t := range sortedAttempts(c.held.tasks, c.isOrphan) {
+		since, ok := c.members.downSince[t.spec.Coordinator]
+		if !ok {
+			c.members.downSince[t.spec.Coordinator] = c.now
+			continue
+		}
+		if c.now.Sub(since) < c.policy.timing.orphanGrace {
+			continue
+		}
+		c.stopOrphan(t)
+	}
+}
+
+// isOrphan reports whether the coordinator of an unlogged attempt is down.
+func (c *Core) isOrphan(t *heldTask) bool {
+	return !t.spec.Kind.Logged() && !c.isUp(t.spec.Coordinator)
+}
+
+func (c *Core) stopOrphan(t *heldTask) {
+	switch {
+	case t.phase == heldEnded && c.now.Sub(t.endedAt) >= endedRetention:
+		c.forgetHeld(t)
+	case t.phase == heldEnded:
+		if c.now.Sub(t.endedAt) >= bodyRetention {
+			t.report.Body = nil
+		}
+	case t.spec.Idempotent && !t.stopped:
+		c.counters.OrphansStopped++
+		c.logEvent("orphan_stopped", Field{"attempt", t.spec.Attempt.String()},
+			Field{"coordinator", t.spec.Coordinator.String()})
+		c.stopHeld(t.spec.Attempt)
+	}
+}
+
+// resendInterval is the pause before an unacknowledged end is sent again.
+const resendInterval = 2 * time.Second
+
+// resendEnded repeats ends that were not acknowledged. The message may have been
+// lost with a link.
+func (c *Core) resendEnded() {
+	overdue := func(t *heldTask) bool {
+		return t.phase == heldEnded && c.now.Sub(t.endedAt) >= resendInterval && c.isUp(t.spec.Coordinator)
+	}
+	for _, t := range sortedAttempts(c.held.tasks, overdue) {
+		c.send(t.spec.Coordinator, message.Ended{Report: t.report})
+	}
+}
+
+// resendEndedTo sends the ends that a coordinator with a new link may have missed.
+func (c *Core) resendEndedTo(ref api.EntryRef) {
+	missed := func(t *heldTask) bool { return t.phase == heldEnded && t.spec.Coordinator == ref }
+	for _, t := range sortedAttempts(c.held.tasks, missed) {
+		c.send(ref, message.Ended{Report: t.report})
+	}
+}
+
+// relievePressure throttles, checkpoints or stops tasks that grew past the
+// memory of their worker.
+func (c *Core) relievePressure() {
+	for _, v := range c.pool.Pressure(c.now) {
+		t := c.held.tasks[v.Attempt]
+		if t == nil || t.phase != heldRunning {
+			continue
+		}
+		c.logEvent("task_over_memory", Field{"attempt", v.Attempt.String()},
+			Field{"worker", v.Worker}, Field{"step", string(v.Step)})
+		c.control(t, TaskCommand(v.Step))
+	}
+}
--- /dev/null
+++ b/internal/core/place.go
@@ -0,0 +1,250 @@
+package core
+
+import (
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/message"
+	"github.com/fulmarlatch/fulmarlatch/internal/queue"
+)
+
+const (
+	// maxPlacementsPerStep bounds the time of one Step.
+	maxPlacementsPerStep = 256
+	// maxFailuresPerTick bounds the work spent on tasks for which there is no
+	// room, so that a long queue in front of a full cell costs little.
+	maxFailuresPerTick = 32
+	// maxReserving bounds the reservations that wait for peers.
+	maxReserving = 512
+	// postponeDelay is the pause before a task without room is tried again.
+	postponeDelay = 200 * time.Millisecond
+	// sampledPeers is the number of peers of which the best is asked.
+	sampledPeers = 3
+)
+
+// dispatch places waiting tasks while there is room.
+func (c *Core) dispatch() {
+	if c.policy == nil {
+		return
+	}
+	for range maxPlacementsPerStep {
+		if c.tries.failures >= maxFailuresPerTick || len(c.tries.reserving) >= maxReserving {
+			return
+		}
+		it, ok := c.queue.Next(c.now)
+		if !ok {
+			return
+		}
+		c.place(it)
+		c.deliverLocal()
+	}
+}
+
+// place looks for room for a task or a gang.
+func (c *Core) place(it queue.Item) {
+	j := c.jobs.byID[it.Key.JobID]
+	if j == nil || j.phase == phaseDone || j.owner != c.cfg.Self {
+		c.queue.Cancel(it.Key)
+		return
+	}
+	if j.phase == phaseLogging {
+		j.parked = append(j.parked, it)
+		return
+	}
+	if it.Key.Task == gangTask {
+		c.placeGang(j, it)
+		return
+	}
+	c.reserveNext(c.newAttempt(j, it, it.Key.Task))
+}
+
+// reserveNext asks the next holder for room, or gives up for now.
+func (c *Core) reserveNext(a *attempt) {
+	if a.gang != nil {
+		return
+	}
+	holder, preempt, ok := c.nextHolder(a)
+	if !ok {
+		c.postpone(a)
+		return
+	}
+	a.holder = holder
+	a.since = c.now
+	a.phase = attemptReserving
+	c.tries.reserving[a.id] = a
+	if a.tried == nil {
+		a.tried = make(map[string]bool)
+	}
+	a.tried[holder.Name] = true
+	if p := c.members.peers[holder.Name]; p != nil {
+		p.promised = p.promised.Add(a.job.spec.Resources)
+	}
+	c.sendReserve(holder, a.job, []api.AttemptID{a.id}, preempt)
+}
+
+func (c *Core) sendReserve(to api.EntryRef, j *job, ids []api.AttemptID, preempt bool) {
+	c.counters.Reserves++
+	c.send(to, message.Reserve{
+		Attempts: ids,
+		Spec:     c.taskSpec(j),
+		TTLMS:    c.policy.timing.reservationTTL.Milliseconds(),
+		Preempt:  preempt,
+	})
+}
+
+func (c *Core) taskSpec(j *job) api.TaskSpec {
+	return api.TaskSpec{
+		Coordinator: c.cfg.Self,
+		Team:        j.spec.Team,
+		Class:       j.spec.Class,
+		Kind:        j.spec.Kind,
+		Idempotent:  j.spec.Idempotent,
+		Resources:   j.spec.Resources,
+		RunTimeMS:   j.spec.RunTimeMS,
+	}
+}
+
+// nextHolder returns the holder to ask next: this process first, because its
+// workers are near, then the best of a few sampled peers. When nobody has room,
+// the last one asked may preempt.
+func (c *Core) nextHolder(a *attempt) (holder api.EntryRef, preempt, ok bool) {
+	if !a.tried[c.cfg.Self.Name] && c.workers.heldCount > 0 {
+		return c.cfg.Self, false, true
+	}
+	if p := c.samplePeer(a); p != nil {
+		return p.ref, false, true
+	}
+	if a.preempted || !c.hasLessUrgent(a.job.spec.Class) {
+		return api.EntryRef{}, false, false
+	}
+	a.preempted = true
+	if c.workers.heldCount > 0 {
+		return c.cfg.Self, true, true
+	}
+	if live := c.livePeers(); len(live) > 0 {
+		return live[c.rng.IntN(len(live))].ref, true, true
+	}
+	return api.EntryRef{}, false, false
+}
+
+// hasLessUrgent reports whether tasks of some class may be preempted for class.
+func (c *Core) hasLessUrgent(class string) bool {
+	rank := c.policy.classes[class].Rank
+	for _, other := range c.policy.classes {
+		if other.Preemptible && other.Rank > rank {
+			return true
+		}
+	}
+	return false
+}
+
+// samplePeer returns the peer with the most free room among a few that were not
+// tried and whose summary has room for the task.
+func (c *Core) samplePeer(a *attempt) *peerState {
+	var best *peerState
+	bestFree := -1.0
+	live := c.livePeers()
+	sampled := 0
+	for _, i := range c.rng.Perm(len(live)) {
+		p := live[i]
+		if a.tried[p.ref.Name] || !p.mayHold(a.job.spec) {
+			continue
+		}
+		if free := p.free().DominantShare(p.summary.Capacity); free > bestFree {
+			best, bestFree = p, free
+		}
+		sampled++
+		if sampled == sampledPeers {
+			break
+		}
+	}
+	return best
+}
+
+// free returns what the peer has left after what was asked of it since its last
+// summary.
+func (p *peerState) free() api.Resources { return p.summary.Free.Sub(p.promised) }
+
+// mayHold reports whether the peer's summary has room for a task.
+func (p *peerState) mayHold(spec api.Job) bool {
+	if !spec.Resources.Fits(p.summary.Largest) || !spec.Resources.Fits(p.free()) {
+		return false
+	}
+	byClass, ok := p.summary.FreeByClass[spec.Class]
+	return !ok || spec.Resources.Fits(byClass)
+}
+
+// reserved handles a holder's answer to Reserve.
+func (c *Core) reserved(from api.EntryRef, m message.Reserved) {
+	for _, place := range m.Places {
+		a := c.tries.byID[place.Attempt]
+		if a == nil || a.phase != attemptReserving || a.holder != from {
+			c.send(from, message.Release{Attempts: []api.AttemptID{place.Attempt}})
+			continue
+		}
+		delete(c.tries.reserving, a.id)
+		a.place = place
+		a.phase = attemptReserved
+		if a.gang == nil {
+			c.proceed(a)
+		}
+	}
+	for _, id := range m.Refused {
+		a := c.tries.byID[id]
+		if a == nil || a.phase != attemptReserving || a.holder != from {
+			continue
+		}
+		delete(c.tries.reserving, a.id)
+		a.phase = attemptRefused
+		c.reserveNext(a)
+	}
+	c.continueGangs(from, m)
+}
+
+// timeOutReserving moves on from holders that do not answer. Nothing runs yet, so
+// this is safe; the unanswered reservation is released or expires.
+func (c *Core) timeOutReserving() {
+	if c.policy == nil {
+		return
+	}
+	for _, a := range sortedAttempts(c.tries.reserving, anyAttempt) {
+		if c.now.Sub(a.since) < c.policy.timing.reserveTimeout {
+			continue
+		}
+		if c.tries.reserving[a.id] == a {
+			c.leaveHolder(a)
+		}
+	}
+}
+
+// leaveHolder gives up on the holder that was asked and asks the next one.
+func (c *Core) leaveHolder(a *attempt) {
+	delete(c.tries.reserving, a.id)
+	a.phase = attemptRefused
+	c.send(a.holder, message.Release{Attempts: []api.AttemptID{a.id}})
+	if a.gang != nil {
+		c.gangStep(a.gang)
+		return
+	}
+	c.reserveNext(a)
+}
+
+// postpone puts a task without room back into the queue.
+func (c *Core) postpone(a *attempt) {
+	c.tries.failures++
+	c.counters.NoRoom++
+	c.tries.remove(a)
+	c.queue.Postpone(c.now, a.item, c.now.Add(c.jitter(postponeDelay)))
+}
+
+// expireQueue refuses tasks whose deadline passed while they waited.
+func (c *Core) expireQueue() {
+	for _, it := range c.queue.Expire(c.now) {
+		c.refuseWaiting(it, errTooLate())
+	}
+}
+
+// refuseRemoved refuses a task whose class or team left the bundle.
+func (c *Core) refuseRemoved(it queue.Item) {
+	c.refuseWaiting(it, errClassRemoved(it.Class, it.Team))
+}
--- /dev/null
+++ b/internal/core/records.go
@@ -0,0 +1,286 @@
+package core
+
+import (
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/fulmarlatch/fulmarlatch/internal/message"
+	"github.com/fulmarlatch/fulmarlatch/internal/record"
+)
+
+// readRecord applies the next record of the work stream. All processes read the
+// same records in the same order, so they agree on who coordinates a job and on
+// the state of its tasks.
+func (c *Core) readRecord(offset uint64, r record.Record) {
+	if r.Sequence <= c.jobs.read[r.Writer] {
+		return // a repeated append
+	}
+	c.jobs.read[r.Writer] = r.Sequence
+	switch {
+	case r.Claim != nil:
+		c.readClaim(r.Writer, *r.Claim)
+	case r.Accept != nil:
+		c.readAccept(offset, r.Writer, *r.Accept)
+	case r.Start != nil:
+		c.readStart(r.Writer, *r.Start)
+	case r.End != nil:
+		c.readEnd(r.Writer, *r.End)
+	case r.Adopt != nil:
+		c.readAdopt(offset, r.Writer, *r.Adopt)
+	case r.Cancel != nil:
+		c.readCancel(r.Cancel.JobID)
+	}
+}
+
+// takeKey gives a key to the first job that claims it, and reports whether jobID
+// is that job.
+func (c *Core) takeKey(writer api.EntryRef, team, key, jobID string) bool {
+	ref := keyRef{team, key}
+	k := c.jobs.keys[ref]
+	if k != nil && k.won {
+		return k.jobID == jobID
+	}
+	c.jobs.keys[ref] = &claim{jobID: jobID, owner: writer, readAt: c.now, won: true}
+	return true
+}
+
+func (c *Core) readClaim(writer api.EntryRef, m record.Claim) {
+	won := c.takeKey(writer, m.Team, m.Key, m.JobID)
+	j := c.jobs.byID[m.JobID]
+	if writer != c.cfg.Self || j == nil || j.phase != phaseLogging {
+		return
+	}
+	if !won {
+		c.loseKey(j)
+		return
+	}
+	c.openParked(j)
+}
+
+// loseKey turns the callers of a job to the job that claimed the key first.
+func (c *Core) loseKey(j *job) {
+	for _, it := range j.items() {
+		c.queue.Cancel(it.Key)
+	}
+	delete(c.jobs.byID, j.spec.ID)
+	waiters := j.waiters
+	j.waiters = nil
+	j.phase = phaseDone
+	j.final = &api.Answer{JobID: j.spec.ID, Outcome: api.OutcomeNotRun, Error: errKeyTaken()}
+	for _, w := range waiters {
+		if w.from != c.cfg.Self {
+			c.reply(w, *j.final)
+			continue
+		}
+		delete(c.requests.jobs, w.token)
+		c.submitKeyed(w, j.spec)
+	}
+}
+
+func errKeyTaken() *fault.Error {
+	return fault.New(fault.Conflict, "another request claimed the idempotency key first", "send the request again to hear the answer of the first one")
+}
+
+// openParked lets the tasks of a job run whose own record was read.
+func (c *Core) openParked(j *job) {
+	j.phase = phaseOpen
+	parked := j.parked
+	j.parked = nil
+	for _, it := range parked {
+		c.queue.Requeue(c.now, it)
+	}
+}
+
+func (c *Core) readAccept(offset uint64, writer api.EntryRef, m record.Accept) {
+	claimOffset := m.Claim
+	if claimOffset == 0 {
+		claimOffset = offset
+	}
+	j := c.jobs.byID[m.Job.ID]
+	if j != nil && j.phase != phaseLogging {
+		c.readProgress(j, writer, claimOffset, m)
+		return
+	}
+	if m.Job.Key != "" && !c.takeKey(writer, m.Job.Team, m.Job.Key, m.Job.ID) {
+		if j != nil && writer == c.cfg.Self {
+			c.loseKey(j)
+		}
+		return
+	}
+	if j == nil {
+		j = newJob(m.Job, writer, c.now)
+		j.keep = true
+		c.jobs.byID[m.Job.ID] = j
+		j.applyProgress(m.Tasks)
+	}
+	j.refreshed = c.now
+	c.jobs.setOwner(j, writer, claimOffset)
+	c.openParked(j)
+	c.answerAccepted(j)
+}
+
+// answerAccepted tells the callers who submitted the job that it is in the log.
+func (c *Core) answerAccepted(j *job) {
+	waiters := j.waiters
+	j.waiters = nil
+	for _, w := range waiters {
+		c.reply(w, j.progress())
+	}
+}
+
+// readProgress applies a later copy of a job. A copy by a later coordinator than
+// the one known here replaces what is known.
+func (c *Core) readProgress(j *job, writer api.EntryRef, claimOffset uint64, m record.Accept) {
+	if j.phase == phaseDone {
+		return
+	}
+	if claimOffset > j.claim {
+		j.applyProgress(m.Tasks)
+		c.changeOwner(j, writer, claimOffset)
+	}
+	j.refreshed = c.now
+}
+
+// applyProgress sets the tasks of a job from a later copy of its accept record.
+func (j *job) applyProgress(progress []record.TaskProgress) {
+	if len(progress) != len(j.tasks) {
+		return
+	}
+	j.open = 0
+	for i, p := range progress {
+		t := &j.tasks[i]
+		*t = task{attempts: p.Attempts, outcome: p.Outcome, place: placeRef{p.Worker, p.Epoch, p.Boot}}
+		switch {
+		case p.Outcome != "":
+			t.phase = taskDone
+		case p.Started:
+			t.phase = taskActive
+		}
+		if p.Attempts > 0 {
+			j.ran = true
+		}
+		if t.phase != taskDone {
+			j.open++
+		}
+	}
+}
+
+// readStart notes where an attempt may run. It counts only if its writer is the
+// coordinator at this offset, so that a paused process that was replaced cannot
+// start tasks.
+func (c *Core) readStart(writer api.EntryRef, m record.Start) {
+	j := c.jobs.byID[m.Attempt.Job]
+	if j == nil || j.owner != writer || j.phase == phaseDone {
+		return
+	}
+	t := j.taskAt(m.Attempt.Task)
+	if t == nil || t.phase == taskDone {
+		return
+	}
+	t.phase = taskActive
+	t.attempts = m.Attempt.Number
+	t.place = placeRef{m.Worker, m.Epoch, m.Boot}
+	j.ran = true
+	if writer != c.cfg.Self {
+		return
+	}
+	a := c.tries.byID[m.Attempt]
+	if a == nil || a.phase != attemptLogging {
+		return
+	}
+	if j.cancelled {
+		c.send(a.holder, message.Release{Attempts: []api.AttemptID{a.id}})
+		c.attemptOver(a, result{outcome: api.OutcomeNotRun, reason: errCancelled()})
+		return
+	}
+	c.commit(a)
+}
+
+func (c *Core) readEnd(writer api.EntryRef, m record.End) {
+	j := c.jobs.byID[m.Attempt.Job]
+	if j == nil || j.owner != writer || j.phase == phaseDone {
+		return
+	}
+	t := j.taskAt(m.Attempt.Task)
+	if t == nil || t.phase == taskDone || t.attempts != m.Attempt.Number {
+		return
+	}
+	a := c.tries.byID[m.Attempt]
+	if m.Retry {
+		t.phase = taskWaiting
+	} else {
+		t.phase = taskDone
+		t.outcome = m.Outcome
+		j.open--
+	}
+	if a != nil && a.phase == attemptClosing {
+		c.closeAttempt(a, m)
+	}
+	c.closeIfDone(j)
+}
+
+// closeAttempt finishes an attempt of this process whose end is in the log.
+func (c *Core) closeAttempt(a *attempt, m record.End) {
+	c.tries.remove(a)
+	if m.Outcome != api.OutcomeNotRun {
+		c.send(a.holder, message.Acknowledge{Attempts: []api.AttemptID{a.id}})
+	}
+	if m.Retry {
+		c.requeue(a.job, a.unit(), result{outcome: m.Outcome})
+	}
+}
+
+// readCancel ends a logged job for every process. The coordinator stops what runs.
+func (c *Core) readCancel(id string) {
+	j := c.jobs.byID[id]
+	if j == nil || j.phase == phaseDone || j.cancelled {
+		return
+	}
+	j.cancelled = true
+	if j.owner == c.cfg.Self {
+		c.cancelTasks(j)
+		return
+	}
+	for i := range j.tasks {
+		if j.tasks[i].phase == taskWaiting {
+			c.taskOver(j, i, api.OutcomeNotRun)
+		}
+	}
+	c.closeIfDone(j)
+}
+
+// refreshJobs appends the live jobs of this process again before the log drops
+// the earlier copies.
+func (c *Core) refreshJobs() {
+	if !c.logUp {
+		return
+	}
+	mine := c.jobs.byOwner[c.cfg.Self]
+	for _, id := range sortedKeys(mine) {
+		j := mine[id]
+		if c.now.Sub(j.refreshed) < c.cfg.RefreshInterval+c.spread(j) {
+			continue
+		}
+		j.refreshed = c.now
+		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: j.taskProgress()}})
+	}
+}
+
+// spread returns a part of the refresh interval that differs by job, so that jobs
+// accepted together are not appended again together.
+func (c *Core) spread(j *job) time.Duration {
+	return time.Duration(rendezvousScore(j.spec.ID, "") % uint64(c.cfg.RefreshInterval/4+1))
+}
+
+func (j *job) taskProgress() []record.TaskProgress {
+	list := make([]record.TaskProgress, len(j.tasks))
+	for i, t := range j.tasks {
+		list[i] = record.TaskProgress{Attempts: t.attempts, Outcome: t.outcome}
+		if t.phase == taskActive {
+			list[i].Started = true
+			list[i].Worker, list[i].Epoch, list[i].Boot = t.place.worker, t.place.epoch, t.place.boot
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/core/stop.go
@@ -0,0 +1,60 @@
+package core
+
+import "github.com/fulmarlatch/fulmarlatch/internal/api"
+
+// stop starts the graceful shutdown: no new work, leases handed over, requests in
+// progress finished, logged jobs left to the processes that adopt them.
+func (c *Core) stop() {
+	if c.stopping {
+		return
+	}
+	c.stopping = true
+	c.logEvent("stopping")
+	c.chooseHolders()
+	c.pursueLeases()
+}
+
+// canReleaseOnStop reports whether a stopping process may release its workers.
+// Without another process to take them, its own requests still need them.
+func (c *Core) canReleaseOnStop() bool {
+	return len(c.livePeers()) > 0 || !c.hasOpenRequests()
+}
+
+// hasOpenRequests reports whether this process coordinates unfinished requests.
+func (c *Core) hasOpenRequests() bool {
+	for _, j := range c.jobs.byID {
+		if j.phase != phaseDone && j.owner == c.cfg.Self && j.spec.Kind == api.KindRequest {
+			return true
+		}
+	}
+	return false
+}
+
+// checkStopped reports the end of a graceful shutdown once.
+func (c *Core) checkStopped() {
+	if !c.stopping || c.stopped {
+		return
+	}
+	if c.workers.heldCount > 0 || len(c.requests.forwards) > 0 || c.hasOpenRequests() {
+		return
+	}
+	if c.hasUnfinishedAttempts() {
+		return
+	}
+	c.stopped = true
+	c.emit(Stopped{})
+}
+
+// hasUnfinishedAttempts reports whether logged attempts wait for their records.
+// They are left to the adopter when the log does not answer.
+func (c *Core) hasUnfinishedAttempts() bool {
+	if !c.logUp {
+		return false
+	}
+	for _, a := range c.tries.byID {
+		if a.phase == attemptLogging || a.phase == attemptClosing {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -35,6 +35,8 @@
 	AllOrNone bool `cbor:"3,keyasint,omitempty"`
 	// TTLMS is the life of the reservation in milliseconds.
 	TTLMS int64 `cbor:"4,keyasint"`
+	// Preempt allows the holder to preempt less urgent tasks if there is no room.
+	Preempt bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Place is the room that was found for one attempt.
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -34,9 +34,29 @@
 	JobID string `cbor:"3,keyasint"`
 }
 
-// Accept keeps a whole job; the writer becomes its coordinator.
+// Accept keeps a whole job; the writer becomes its coordinator. The
+// coordinator appends it again, with the job's progress, before the log drops
+// the earlier copy.
 type Accept struct {
 	Job api.Job `cbor:"1,keyasint"`
+	// Claim is 0 in the first copy. In a later one it is the offset of the
+	// record that made the writer the coordinator.
+	Claim uint64 `cbor:"2,keyasint,omitempty"`
+	// Tasks is the progress in a later copy, one entry per task.
+	Tasks []TaskProgress `cbor:"3,keyasint,omitempty"`
+}
+
+// TaskProgress is the state of one task as the log tells it.
+type TaskProgress struct {
+	// Attempts is the number of the last attempt, 0 for none.
+	Attempts int `cbor:"1,keyasint,omitempty"`
+	// Started is true while the last attempt is not recorded as over.
+	Started bool   `cbor:"2,keyasint,omitempty"`
+	Worker  string `cbor:"3,keyasint,omitempty"`
+	Epoch   uint64 `cbor:"4,keyasint,omitempty"`
+	Boot    uint64 `cbor:"5,keyasint,omitempty"`
+	// Outcome is set when the task is done.
+	Outcome api.Outcome `cbor:"6,keyasint,omitempty"`
 }
 
 // Start names the only place where an attempt may run. It precedes the commit
@@ -54,8 +74,13 @@
 	Attempt api.AttemptID `cbor:"1,keyasint"`
 	Outcome api.Outcome   `cbor:"2,keyasint"`
 	Retry   bool          `cbor:"3,keyasint,omitempty"`
+	// Body is the task's answer, up to MaxBodyBytes; longer answers are not kept.
+	Body []byte `cbor:"4,keyasint,omitempty"`
 }
 
+// MaxBodyBytes bounds the answer of a task that is kept in the log.
+const MaxBodyBytes = 16 << 10
+
 // Adopt makes the writer the job's coordinator if the job's present claim
 // stands at offset Replaces; otherwise it has no effect.
 type Adopt struct {
