Say unknown, not not_run, for refused retries

Cause: with real processes, a caller that retried a minted id at a killed process heard not_run from its own client ("connection refused"), although the first try had run. Ruled out: dropping not_run for all unsent requests, because a request without an id or key is proved not to have run. After: a refused submission with an id or key of its own is unknown until the id or key has been looked up; the tests of the caller package name both cases. Conclusion: not_run stays a proof.

--- a/internal/api/answer.go
+++ b/internal/api/answer.go
@@ -37,6 +37,16 @@
 	Cancelled int `json:"cancelled" cbor:"6,keyasint,omitempty"`
 }
 
+// RefuseSubmission returns the answer for a submission that was refused before its
+// id or key was looked up. A job with an id or key of its own may have run under
+// an earlier submission, so its outcome is unknown; any other is not_run.
+func RefuseSubmission(job Job, err error) Answer {
+	if job.ID == "" && job.Key == "" {
+		return Refuse("", err)
+	}
+	return Answer{JobID: job.ID, Outcome: OutcomeUnknown, Error: fault.As(err)}
+}
+
 // Refuse returns a not_run answer for a job that was never started.
 func Refuse(jobID string, err error) Answer {
 	return Answer{JobID: jobID, Outcome: OutcomeNotRun, Error: fault.As(err)}
--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -100,25 +100,26 @@
 }
 
 // Submit submits a job and returns its answer. If the connection breaks, the
-// outcome is unknown; if there never was one, it is not_run. A job that fails
-// its check is not sent. An empty team is replaced by the client's.
+// outcome is unknown; if there never was one, it is not_run, unless the job has an
+// id or key under which it may have been submitted before. A job that fails its
+// check is not sent. An empty team is replaced by the client's.
 func (c *Client) Submit(ctx context.Context, job api.Job) api.Answer {
 	if err := job.Check(); err != nil {
-		return api.Refuse(job.ID, err)
+		return api.RefuseSubmission(job, err)
 	}
 	if job.Team == "" {
 		job.Team = c.team
 	}
 	body, err := json.Marshal(job)
 	if err != nil {
-		return api.Refuse(job.ID, fault.Wrap(fault.Invalid, err, "the job cannot be encoded", "check that the payload is JSON"))
+		return api.RefuseSubmission(job, fault.Wrap(fault.Invalid, err, "the job cannot be encoded", "check that the payload is JSON"))
 	}
-	return c.answer(ctx, fasthttp.MethodPost, "/v1/jobs", job.ID, body)
+	return c.answer(ctx, fasthttp.MethodPost, "/v1/jobs", job, body)
 }
 
 // Status returns the present state of a job.
 func (c *Client) Status(ctx context.Context, id string) api.Answer {
-	return c.answer(ctx, fasthttp.MethodGet, c.jobPath(id, c.query()), id, nil)
+	return c.answer(ctx, fasthttp.MethodGet, c.jobPath(id, c.query()), api.Job{ID: id}, nil)
 }
 
 // Wait waits for the end of a job, at most for the given time or the server's
@@ -126,12 +127,12 @@
 func (c *Client) Wait(ctx context.Context, id string, wait time.Duration) api.Answer {
 	query := c.query()
 	query.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
-	return c.answer(ctx, fasthttp.MethodGet, c.jobPath(id, query), id, nil)
+	return c.answer(ctx, fasthttp.MethodGet, c.jobPath(id, query), api.Job{ID: id}, nil)
 }
 
 // Cancel cancels a job.
 func (c *Client) Cancel(ctx context.Context, id string) api.Answer {
-	return c.answer(ctx, fasthttp.MethodDelete, c.jobPath(id, c.query()), id, nil)
+	return c.answer(ctx, fasthttp.MethodDelete, c.jobPath(id, c.query()), api.Job{ID: id}, nil)
 }
 
 func (c *Client) query() url.Values { return url.Values{"team": {c.team}} }
@@ -140,19 +141,19 @@
 	return "/v1/jobs/" + url.PathEscape(id) + "?" + query.Encode()
 }
 
-func (c *Client) answer(ctx context.Context, method, path, id string, body []byte) api.Answer {
+func (c *Client) answer(ctx context.Context, method, path string, job api.Job, body []byte) api.Answer {
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	err := c.call(ctx, method, path, body, response)
 	switch {
 	case err != nil && method == fasthttp.MethodPost && neverSent(err):
-		return api.Refuse(id, unreachable(err))
+		return api.RefuseSubmission(job, unreachable(err))
 	case err != nil:
-		return undecided(id, unreachable(err))
+		return undecided(job.ID, unreachable(err))
 	}
 	answer, err := DecodeAnswer(response.Body())
 	if err != nil {
-		return undecided(id, notUnderstood(response.StatusCode(), err))
+		return undecided(job.ID, notUnderstood(response.StatusCode(), err))
 	}
 	return answer
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -96,10 +96,10 @@
 func (s *Server) submit(c fiber.Ctx) error {
 	job, err := s.readJob(c)
 	if err != nil {
-		return s.reply(c, api.Refuse(job.ID, err))
+		return s.reply(c, api.RefuseSubmission(job, err))
 	}
 	if !s.enter() {
-		return s.reply(c, api.Refuse(job.ID, overloaded()))
+		return s.reply(c, api.RefuseSubmission(job, overloaded()))
 	}
 	defer s.leave()
 	return s.do(c, message.OpSubmit, job, s.cfg.answerTime(job))
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -222,9 +222,14 @@
 	first := make(chan api.Answer, 1)
 	go func() { first <- c.Submit(context.Background(), job) }()
 	<-h.entered
-	second := c.Submit(context.Background(), job)
+	fresh := job
+	fresh.ID = ""
+	second := c.Submit(context.Background(), fresh)
 	assert.Equal(t, second.Outcome, api.OutcomeNotRun)
 	assert.Equal(t, second.Error.Kind, fault.QueueFull)
+	retry := c.Submit(context.Background(), job) // its first submission may run
+	assert.Equal(t, retry.Outcome, api.OutcomeUnknown)
+	assert.Equal(t, retry.Error.Kind, fault.QueueFull)
 	assert.Equal(t, c.Status(context.Background(), job.ID).Outcome, api.OutcomeUnknown)
 	close(h.release)
 	assert.Equal(t, (<-first).Outcome, api.OutcomeCompleted)
@@ -285,6 +290,9 @@
 		assert.Equal(t, requests.Load(), call.want)
 	}
 	assert.NilError(t, server.Close())
-	assert.Equal(t, c.Submit(ctx, job).Outcome, api.OutcomeNotRun)
+	fresh := job
+	fresh.ID = ""
+	assert.Equal(t, c.Submit(ctx, fresh).Outcome, api.OutcomeNotRun)
+	assert.Equal(t, c.Submit(ctx, job).Outcome, api.OutcomeUnknown) // an earlier try may have run
 	assert.Equal(t, c.Cancel(ctx, job.ID).Outcome, api.OutcomeUnknown)
 }
