Add the entry process and tests with real processes

Cause: the parts have to work as separate processes. Ruled out: putting each roll in force while the log is read for the first time, which would serve older bundles for a moment after every start. Before: no whole path. Conclusion: the thin path holds; outages of the log, rolls and planned stops are the next proofs.

--- /dev/null
+++ b/cmd/fulmarlatchd/main.go
@@ -0,0 +1,82 @@
+// Command fulmarlatchd is the entry process of fulmarlatch. One runs on each entry
+// VM.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/logging"
+	"github.com/fulmarlatch/fulmarlatch/internal/node"
+	"github.com/fulmarlatch/fulmarlatch/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1 // a planned stop cut work off, or a second signal forced the stop
+	exitSettings = 2 // the settings are wrong
+)
+
+type options struct {
+	Config        string `required:"" type:"path" help:"JSON file with the settings of this process."`
+	CheckSettings bool   `help:"Check the settings, report every problem and exit."`
+}
+
+func main() {
+	var opts options
+	kong.Parse(&opts, kong.Name("fulmarlatchd"), kong.Description("Entry process of the fulmarlatch cluster scheduler."))
+	os.Exit(run(opts))
+}
+
+func run(opts options) int {
+	s, err := settings.Load(opts.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if opts.CheckSettings {
+		fmt.Println("settings are correct")
+		return 0
+	}
+	log, err := logging.New(os.Stderr, s.LogLevel, zap.String("entry", s.Entry))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	n, err := node.New(s, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(n.Addresses()); err != nil {
+		log.Warn("addresses_not_written", zap.Error(err))
+	}
+	if err := n.Run(untilSignal(log)); err != nil {
+		log.Error("stop_incomplete", logging.Fault(err)...)
+		return exitFailed
+	}
+	return 0
+}
+
+// untilSignal returns a context that ends with the first SIGTERM or SIGINT. A
+// second one ends the process at once.
+func untilSignal(log *zap.Logger) context.Context {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-signals
+		cancel()
+		<-signals
+		log.Warn("stop_forced")
+		os.Exit(exitFailed)
+	}()
+	return ctx
+}
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/core"
+	"github.com/fulmarlatch/fulmarlatch/internal/record"
+)
+
+// event is something for the control goroutine to do. It runs there alone.
+type event interface{ apply(n *Node) }
+
+// coreEvent passes an event to the core.
+type coreEvent struct{ event core.Event }
+
+func (e coreEvent) apply(n *Node) { n.step(e.event) }
+
+// call runs a function on the control goroutine.
+type call func(n *Node)
+
+func (c call) apply(n *Node) { c(n) }
+
+// post hands an event to the control goroutine. It waits while the backlog is
+// full and drops the event when the node has ended.
+func (n *Node) post(e event) {
+	select {
+	case n.events <- e:
+	case <-n.done:
+	}
+}
+
+// Intervals of the control goroutine.
+const (
+	summaryInterval = 250 * time.Millisecond
+	statusInterval  = time.Second
+)
+
+// control is the control goroutine: it owns the core and the chain of rolls.
+func (n *Node) control() {
+	tick := time.NewTicker(core.TickInterval)
+	defer tick.Stop()
+	summary := time.NewTicker(summaryInterval)
+	defer summary.Stop()
+	status := time.NewTicker(statusInterval)
+	defer status.Stop()
+	for {
+		select {
+		case e := <-n.events:
+			e.apply(n)
+		case <-tick.C:
+			n.step(core.Tick{})
+		case <-summary.C:
+			n.publishSummary()
+		case <-status.C:
+			n.publishStatus()
+		case <-n.done:
+			return
+		}
+	}
+}
+
+// step lets the core take an event and hands its actions to the drivers.
+func (n *Node) step(ev core.Event) {
+	began := time.Now()
+	actions := n.core.Step(began, ev)
+	metrics.GetOrRegisterTimer("core.step", n.registry).UpdateSince(began)
+	for _, action := range actions {
+		n.carryOut(action)
+	}
+	if _, ok := ev.(core.StopRequested); ok {
+		n.publishSummary()
+		n.publishStatus()
+	}
+}
+
+// carryOut hands one action to its driver. No driver blocks here.
+func (n *Node) carryOut(action core.Action) {
+	switch a := action.(type) {
+	case core.AcquireLease:
+		n.workers.acquire(a)
+	case core.ReleaseLease:
+		n.workers.release(a)
+	case core.StartTask:
+		n.workers.startTask(a)
+	case core.ControlTask:
+		n.workers.controlTask(a)
+	case core.AcknowledgeTasks:
+		n.workers.acknowledge(a)
+	case core.Send:
+		n.send(a)
+	case core.Append:
+		n.appendRecords(a.Records)
+	case core.AnswerCaller:
+		n.answer(a.Token, a.Answer)
+	case core.LogEvent:
+		n.logEvent(a)
+	case core.Stopped:
+		close(n.stopped)
+	}
+}
+
+func (n *Node) send(a core.Send) {
+	if err := n.mesh.Send(a.To, a.Message, a.Urgent); err != nil {
+		n.log.Debug("send_failed", zap.String("to", a.To.String()), zap.Error(err))
+	}
+}
+
+func (n *Node) appendRecords(records []record.Record) {
+	for _, r := range records {
+		data, err := record.Encode(r)
+		if err != nil {
+			n.log.Error("record_not_encoded", zap.Error(err))
+			continue
+		}
+		n.appender.Submit(recordID(r), data)
+	}
+}
+
+// answer passes the core's answer to the waiting caller.
+func (n *Node) answer(token uint64, answer api.Answer) {
+	reply, ok := n.waiting[token]
+	if !ok {
+		return
+	}
+	delete(n.waiting, token)
+	reply <- answer
+}
+
+func (n *Node) logEvent(a core.LogEvent) {
+	fields := make([]zap.Field, len(a.Fields))
+	for i, f := range a.Fields {
+		fields[i] = zap.String(f.Key, f.Value)
+	}
+	n.log.Info(a.Event, fields...)
+}
+
+func (n *Node) publishSummary() {
+	if err := n.mesh.SetSummary(n.core.Summary()); err != nil {
+		n.log.Error("summary_not_sent", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/test/cell_test.go
@@ -0,0 +1,409 @@
+// Package test proves the promises of the design page with real processes: entry
+// processes behind fault-injecting proxies, and stand-ins for the platform.
+package test
+
+import (
+	"bufio"
+	"context"
+	"crypto/ed25519"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/bundle"
+	"github.com/fulmarlatch/fulmarlatch/internal/caller"
+	"github.com/fulmarlatch/fulmarlatch/internal/node"
+	"github.com/fulmarlatch/fulmarlatch/internal/operator"
+	"github.com/fulmarlatch/fulmarlatch/internal/platformlog"
+	"github.com/fulmarlatch/fulmarlatch/internal/standin"
+)
+
+const (
+	signer = "alice"
+	team   = "desk"
+	token  = "secret"
+	// tokenHash is the SHA-256 of token.
+	tokenHash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+	// settleBound is how long a condition may take to become true. It bounds a
+	// failing test only and is no measure of speed.
+	settleBound = 60 * time.Second
+)
+
+// binaries is the directory of the built programs.
+var binaries string
+
+// TestMain builds the programs once.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "fulmarlatch-test-")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", dir, "github.com/fulmarlatch/fulmarlatch/cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build failed: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	binaries = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// cell is a running cell: stand-ins in this process, entry processes outside.
+type cell struct {
+	t        *testing.T
+	dir      string
+	platform *standin.Platform
+	key      ed25519.PrivateKey
+	logProxy *proxy
+	entries  map[string]*entry
+	version  uint64
+}
+
+// entry is one entry process and the proxies around it.
+type entry struct {
+	name    string
+	domain  string
+	command *exec.Cmd
+	address node.Addresses
+	peers   *proxy // in front of its peer listener
+	log     *proxy // between the process and the log
+	exited  chan error
+}
+
+// cellOptions are the sizes of a cell.
+type cellOptions struct {
+	entries  int
+	workers  int
+	capacity api.Resources
+	log      standin.LogConfig
+}
+
+func defaultOptions() cellOptions {
+	return cellOptions{entries: 3, workers: 4,
+		capacity: api.Resources{CPUMilli: 4000, MemoryMB: 8000, Accelerators: 1, Slots: 8, Connections: 60}}
+}
+
+// startCell starts a cell with a bundle in force at every entry process.
+func startCell(t *testing.T, o cellOptions) *cell {
+	t.Helper()
+	c := newCell(t, o)
+	for i := range o.entries {
+		c.startEntry(entryName(i))
+	}
+	c.roll(testBundle())
+	c.awaitReady()
+	c.awaitHeld(o.workers)
+	return c
+}
+
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+func newCell(t *testing.T, o cellOptions) *cell {
+	t.Helper()
+	lag := int64(100)
+	platform, err := standin.Start(standin.Config{
+		Log: o.log,
+		VMs: standin.VMsConfig{LagMS: &lag},
+		Workers: []standin.WorkerGroup{{Prefix: "worker", Count: o.workers, Domains: []string{"a", "b", "c"},
+			PerRack: 6, Capacity: o.capacity, UsageLagMS: 500}},
+	})
+	assert.NilError(t, err)
+	_, key, err := ed25519.GenerateKey(nil)
+	assert.NilError(t, err)
+	c := &cell{t: t, dir: t.TempDir(), platform: platform, key: key, entries: make(map[string]*entry)}
+	t.Cleanup(c.close)
+	return c
+}
+
+func (c *cell) close() {
+	for _, e := range c.entries {
+		_ = e.command.Process.Kill()
+		<-e.exited
+	}
+	_ = c.platform.Close()
+	if c.t.Failed() {
+		c.showLogs()
+	}
+}
+
+// showLogs prints the end of each process's log after a failure.
+func (c *cell) showLogs() {
+	files, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
+	for _, file := range files {
+		data, _ := os.ReadFile(file)
+		c.t.Logf("%s:\n%s", filepath.Base(file), data[max(0, len(data)-6000):])
+	}
+}
+
+// startEntry starts an entry process and lists its VM.
+func (c *cell) startEntry(name string) *entry {
+	c.t.Helper()
+	e := &entry{name: name, domain: string('a' + name[len(name)-1] - '0'), exited: make(chan error, 1)}
+	e.log = startProxy(c.t, c.platform.Addresses().Log)
+	e.command = exec.Command(filepath.Join(binaries, "fulmarlatchd"), "--config", c.writeSettings(e))
+	logFile, err := os.Create(filepath.Join(c.dir, fmt.Sprintf("%s-%d.log", name, time.Now().UnixNano())))
+	assert.NilError(c.t, err)
+	e.command.Stderr = logFile
+	stdout, err := e.command.StdoutPipe()
+	assert.NilError(c.t, err)
+	assert.NilError(c.t, e.command.Start())
+	line, err := bufio.NewReader(stdout).ReadBytes('\n')
+	assert.NilError(c.t, err, "%s printed no addresses", name)
+	assert.NilError(c.t, json.Unmarshal(line, &e.address))
+	go func() {
+		e.exited <- e.command.Wait()
+		close(e.exited)
+		_ = logFile.Close()
+	}()
+	e.peers = startProxy(c.t, e.address.Peer)
+	c.platform.SetVM(api.VM{Name: name, Role: api.RoleEntry, Address: e.peers.address(), Domain: e.domain, Region: "r"})
+	c.entries[name] = e
+	return e
+}
+
+func (c *cell) writeSettings(e *entry) string {
+	public := c.key.Public().(ed25519.PublicKey)
+	local := map[string]string{"listen": "127.0.0.1:0"}
+	data, err := json.Marshal(map[string]any{
+		"entry": e.name, "domain": e.domain, "region": "r",
+		"caller": local, "peer": local, "operator": local,
+		"vm_list": c.platform.Addresses().VMs, "log": e.log.address(),
+		"operators": map[string]string{signer: hex.EncodeToString(public)},
+		"log_level": "info",
+	})
+	assert.NilError(c.t, err)
+	path := filepath.Join(c.dir, e.name+".json")
+	assert.NilError(c.t, os.WriteFile(path, data, 0o600))
+	return path
+}
+
+// testBundle returns a bundle with an urgent and a bulky class.
+func testBundle() bundle.Bundle {
+	b := bundle.Bundle{Version: 1, Timing: bundle.DefaultTiming(), Fleet: bundle.Fleet{PackingWeight: 0.5}}
+	b.Timing.OrphanGraceMS = 2000
+	b.Classes = []bundle.Class{
+		{Name: "urgent", Rank: 1, Floor: 0.25, Ceiling: 0.75, QueueBound: 500, DeadlineMS: 30000, RetryBudget: 0.2, MaxAttempts: 3},
+		{Name: "bulk", Rank: 5, Floor: 0.25, Ceiling: 0.75, QueueBound: 2000, RetryBudget: 0.2, MaxAttempts: 3, Preemptible: true},
+	}
+	b.Teams = []bundle.Team{{Name: team, Weight: 1, TokenHash: tokenHash}}
+	return b
+}
+
+// roll signs a bundle and appends it to the log, and returns the roll's number.
+func (c *cell) roll(b bundle.Bundle) uint64 {
+	c.t.Helper()
+	c.version++
+	b.Version = c.version
+	signed := c.sign(b)
+	c.appendRolls(signed.Records)
+	return signed.Number
+}
+
+// sign makes b the next roll after the one in the log.
+func (c *cell) sign(b bundle.Bundle) bundle.Signed {
+	c.t.Helper()
+	chain := bundle.NewChain(bundle.Keys{signer: c.key.Public().(ed25519.PublicKey)})
+	client := platformlog.NewClient(c.platform.Addresses().Log)
+	defer client.Close()
+	answer, err := client.Read(context.Background(), "rolls", 0, 1000, 0)
+	assert.NilError(c.t, err)
+	for _, r := range answer.Records {
+		_, _ = chain.Apply(r.Offset, r.Data)
+	}
+	signed, err := chain.Sign(b, signer, c.key, time.Now())
+	assert.NilError(c.t, err)
+	return signed
+}
+
+func (c *cell) appendRolls(records [][]byte) {
+	c.t.Helper()
+	client := platformlog.NewClient(c.platform.Addresses().Log)
+	defer client.Close()
+	_, err := client.Append(context.Background(), "rolls", records)
+	assert.NilError(c.t, err)
+}
+
+// await waits until the condition holds.
+func (c *cell) await(what string, condition func() bool) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		if condition() {
+			return poll.Success()
+		}
+		return poll.Continue("waiting for %s", what)
+	}, poll.WithTimeout(settleBound), poll.WithDelay(20*time.Millisecond))
+}
+
+func (c *cell) awaitReady() {
+	c.t.Helper()
+	c.await("all entry processes to be ready", func() bool {
+		for _, e := range c.entries {
+			if !e.readiness().Ready {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// awaitHeld waits until the live entry processes hold that many workers and are
+// linked to each other.
+func (c *cell) awaitHeld(workers int) {
+	c.t.Helper()
+	c.await(fmt.Sprintf("%d held workers", workers), func() bool {
+		held := 0
+		for _, e := range c.entries {
+			d := e.dump()
+			if len(d.Core.Peers) != len(c.entries)-1 {
+				return false
+			}
+			held += len(d.Core.Held)
+		}
+		return held == workers
+	})
+}
+
+func (e *entry) operator() *operator.Client { return operator.NewClient(e.address.Operator, nil) }
+
+func (e *entry) readiness() operator.Readiness {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	ready, _ := e.operator().Ready(ctx)
+	return ready
+}
+
+func (e *entry) dump() node.Dump {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var d node.Dump
+	data, err := e.operator().Dump(ctx)
+	if err == nil {
+		_ = json.Unmarshal(data, &d)
+	}
+	return d
+}
+
+// kill ends an entry process without warning, as a failed VM. Its VM stays on the
+// list, which lags.
+func (c *cell) kill(name string) {
+	c.t.Helper()
+	e := c.entries[name]
+	assert.NilError(c.t, e.command.Process.Kill())
+	<-e.exited
+	delete(c.entries, name)
+}
+
+func (e *entry) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	assert.NilError(t, e.command.Process.Signal(s))
+}
+
+func (e *entry) pause(t *testing.T)  { e.signal(t, syscall.SIGSTOP) }
+func (e *entry) resume(t *testing.T) { e.signal(t, syscall.SIGCONT) }
+
+// client returns a callers' client of an entry process.
+func (c *cell) client(name string) *caller.Client {
+	c.t.Helper()
+	client, err := caller.NewClient("http://"+c.entries[name].address.Caller, token, team)
+	assert.NilError(c.t, err)
+	c.t.Cleanup(client.Close)
+	return client
+}
+
+// request returns an urgent request that works for a time and answers with bytes
+// of filler.
+func request(work time.Duration, answerBytes int) api.Job {
+	payload, err := json.Marshal(standin.Payload{WorkMS: work.Milliseconds(), AnswerBytes: answerBytes, Echo: "e"})
+	if err != nil {
+		panic(err)
+	}
+	return api.Job{Class: "urgent", Kind: api.KindRequest, Tasks: 1, Idempotent: true,
+		Resources: api.Resources{CPUMilli: 500, MemoryMB: 500, Slots: 1, Connections: 1}, Payload: payload}
+}
+
+// job returns a bulky job of some kind.
+func job(kind api.Kind, tasks int, work time.Duration) api.Job {
+	j := request(work, 10)
+	j.Class, j.Kind, j.Tasks = "bulk", kind, tasks
+	return j
+}
+
+// checkAnswer fails unless the answer is the whole one of this job.
+func (c *cell) checkAnswer(j api.Job, a api.Answer) {
+	c.t.Helper()
+	assert.Equal(c.t, a.Outcome, api.OutcomeCompleted, "%v", a.Error)
+	var payload standin.Payload
+	assert.NilError(c.t, json.Unmarshal(j.Payload, &payload))
+	assert.NilError(c.t, standin.CheckAnswer(a.Body, a.JobID, 0, payload))
+}
+
+// checkWorkers fails if a worker saw a broken promise or was asked for more than
+// it holds.
+func (c *cell) checkWorkers() {
+	c.t.Helper()
+	assert.Equal(c.t, len(c.platform.Violations()), 0, "%v", c.platform.Violations())
+	refusals := c.platform.History(0).Refusals
+	assert.Equal(c.t, len(refusals), 0, "%v", refusals)
+}
+
+// runs returns how often tasks of a job were started.
+func (c *cell) runs(jobID string) int {
+	count := 0
+	for page := c.platform.History(0); len(page.Runs) > 0; page = c.platform.History(page.Next) {
+		for _, r := range page.Runs {
+			if r.Attempt.Job == jobID {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// awaitHeldBy waits until the named entry processes hold that many workers.
+func (c *cell) awaitHeldBy(workers int, names ...string) {
+	c.t.Helper()
+	c.await("leases to move", func() bool {
+		held := 0
+		for _, name := range names {
+			held += len(c.entries[name].dump().Core.Held)
+		}
+		return held == workers
+	})
+}
+
+// awaitLinks waits until an entry process has that many links.
+func (c *cell) awaitLinks(name string, links int) {
+	c.t.Helper()
+	c.await("links to change", func() bool { return len(c.entries[name].dump().Core.Peers) == links })
+}
+
+// awaitSettled waits until all live entry processes are linked, hold all workers
+// and have no attempt without a holder.
+func (c *cell) awaitSettled(workers int) {
+	c.t.Helper()
+	c.awaitHeld(workers)
+	c.await("stranded attempts to be found", func() bool {
+		for _, e := range c.entries {
+			if e.dump().Core.Attempts.Stranded > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *cell) workerFault(name string, f standin.WorkerFaults) {
+	c.t.Helper()
+	assert.NilError(c.t, c.platform.SetWorker(name, f))
+}
--- /dev/null
+++ b/test/faults_test.go
@@ -0,0 +1,96 @@
+package test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/standin"
+)
+
+// faultSeed is the seed of the callers' requests.
+const faultSeed = 11
+
+// TestPromisesUnderFaults guards the promises to callers and workers while a fault
+// acts on a loaded cell: capacity, one place at a time, whole own answers, not_run
+// only for what did not run, non-idempotent requests at most once. Work has to go
+// on during the fault, and after it.
+func TestPromisesUnderFaults(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault func(c *cell, w *workload)
+	}{
+		{"entry process killed", func(c *cell, w *workload) {
+			c.kill("entry-0")
+		}},
+		{"two entry processes killed at once", func(c *cell, w *workload) {
+			c.kill("entry-0")
+			c.kill("entry-1")
+		}},
+		{"entry process killed, replaced and killed again", func(c *cell, w *workload) {
+			c.kill("entry-0")
+			c.startEntry("entry-0")
+			c.awaitReady()
+			w.awaitProgress(20)
+			c.kill("entry-0")
+		}},
+		{"entry process paused past its leases", func(c *cell, w *workload) {
+			c.entries["entry-1"].pause(c.t)
+			c.awaitHeldBy(4, "entry-0", "entry-2")
+			c.entries["entry-1"].resume(c.t)
+		}},
+		{"entry process paused twice", func(c *cell, w *workload) {
+			for range 2 {
+				c.entries["entry-2"].pause(c.t)
+				c.awaitHeldBy(4, "entry-0", "entry-1")
+				c.entries["entry-2"].resume(c.t)
+				w.awaitProgress(20)
+			}
+		}},
+		{"peer link cut", func(c *cell, w *workload) {
+			c.entries["entry-2"].peers.set(proxyFaults{Cut: true})
+			c.awaitLinks("entry-2", 0)
+			w.awaitProgress(20)
+			c.entries["entry-2"].peers.set(proxyFaults{})
+		}},
+		{"peer link cut in one direction", func(c *cell, w *workload) {
+			c.entries["entry-2"].peers.set(proxyFaults{DropToServer: true})
+			c.awaitLinks("entry-2", 0)
+			w.awaitProgress(20)
+			c.entries["entry-2"].peers.set(proxyFaults{})
+		}},
+		{"peer links slow", func(c *cell, w *workload) {
+			for _, e := range c.entries {
+				e.peers.set(proxyFaults{Delay: 30 * time.Millisecond, BytesPerSecond: 4 << 20})
+			}
+		}},
+		{"log down", func(c *cell, w *workload) {
+			c.platform.SetLog(standin.LogFaults{Down: true})
+		}},
+		{"worker restarted empty", func(c *cell, w *workload) {
+			c.workerFault("worker-000", standin.WorkerFaults{Restart: true})
+		}},
+		{"worker silent past its lease", func(c *cell, w *workload) {
+			c.workerFault("worker-001", standin.WorkerFaults{PauseMS: 5000})
+		}},
+		{"holder killed while a worker is silent", func(c *cell, w *workload) {
+			c.workerFault("worker-001", standin.WorkerFaults{PauseMS: 4000})
+			c.kill("entry-1")
+		}},
+		{"worker fails everything", func(c *cell, w *workload) {
+			c.workerFault("worker-002", standin.WorkerFaults{FailAll: pointer(true)})
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := startCell(t, defaultOptions())
+			w := c.startWorkload(faultSeed)
+			w.awaitProgress(50)
+			test.fault(c, w)
+			w.awaitProgress(50)
+			c.awaitSettled(4)
+			w.finish()
+		})
+	}
+}
+
+func pointer[T any](v T) *T { return &v }
