--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -60,7 +60,6 @@
 // fakeCell is a cell of fakes.
 type fakeCell struct {
 	now      time.Time
-	seed     uint64
 	procs    map[string]*fakeProcess
 	workers  map[string]*fakeWorker
 	log      []record.Record
@@ -273,7 +272,7 @@
 			w.expires = cell.now
 		}
 		delete(p.held, a.Worker)
-		p.inbox = append(p.inbox, LeaseReleased{Worker: a.Worker, Epoch: a.Epoch})
+		p.inbox = append(p.inbox, LeaseReleased(a))
 	case StartTask:
 		cell.startTask(p, a)
 	case ControlTask:
--- a/test/cell_test.go
+++ b/test/cell_test.go
@@ -65,7 +65,6 @@
 	dir      string
 	platform *standin.Platform
 	key      ed25519.PrivateKey
-	logProxy *proxy
 	entries  map[string]*entry
 	version  uint64
 }
