--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,11 @@
 	$(GO) test -race -timeout 8m $(PACKAGES)
 
 test: test-setup format vet lint unit
+
+# Measurements; each appends its figures to the table, which is printed at the end.
+# They take a few minutes and are no part of "make test".
+BENCH_FILE ?= $(CURDIR)/bin/bench.txt
+bench:
+	@mkdir -p $(dir $(BENCH_FILE)); rm -f $(BENCH_FILE)
+	BENCH_TABLE=$(BENCH_FILE) $(GO) test -count=1 -p 1 -timeout 15m -run '^TestMeasure' ./internal/... ./test
+	@cat $(BENCH_FILE)
