Choose holders of changed workers only and time lease tries by a heap

Cause: each lost or released lease, each change of the VM list and each bundle chose the holders of all known workers, and each Tick sorted all workers of which this process was the first or second choice. Ruled out: faster hashing; the count of choices was the cost.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -295,12 +295,15 @@
 	for _, class := range e.Bundle.Classes {
 		classes[class.Name] = class
 	}
+	isFirst := c.policy == nil
 	c.policy = &policy{classes: classes, timing: newTiming(e.Bundle.Timing)}
 	c.pool.SetPolicy(e.Bundle.Classes, e.Bundle.Fleet)
 	for _, it := range c.queue.SetPolicy(e.Bundle.Classes, e.Bundle.Teams) {
 		c.refuseRemoved(it)
 	}
-	c.chooseHolders()
+	if isFirst {
+		c.chooseHolders()
+	}
 }
 
 func newTiming(t bundle.Timing) timing {
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -12,17 +12,29 @@
 // workers is what this process knows of the platform's workers.
 type workers struct {
 	byName map[string]*workerState
-	// wanted are the workers that this process should hold and does not.
-	wanted map[string]*workerState
-	// fallback are the workers of which this process is the second choice.
-	fallback map[string]*workerState
+	// names are the keys of byName in order; nil when out of date.
+	names []string
+	// tries are the times at which leases are asked for.
+	tries leaseTries
 	// misplaced are held workers whose preferred holder is another process.
 	misplaced map[string]*workerState
 	// shapes counts live workers by capacity.
-	shapes    map[api.Resources]int
+	shapes map[api.Resources]int
+	// capacity is the sum over live workers.
+	capacity  api.Resources
 	heldCount int
 }
 
+// leaseRole tells what this process has to do about a worker's lease.
+type leaseRole int
+
+const (
+	roleNone      leaseRole = iota // held as it should be, or the task of others
+	roleWanted                     // should be held here and is not
+	roleFallback                   // this process is the second choice
+	roleMisplaced                  // held here, and the preferred holder is another process
+)
+
 // leasePhase is the state of a worker's lease as this process sees it.
 type leasePhase int
 
@@ -37,6 +49,7 @@
 type workerState struct {
 	vm        api.VM
 	phase     leasePhase
+	role      leaseRole
 	epoch     uint64
 	boot      uint64
 	heldSince time.Time
@@ -61,123 +74,91 @@
 func newWorkers() workers {
 	return workers{
 		byName:    make(map[string]*workerState),
-		wanted:    make(map[string]*workerState),
-		fallback:  make(map[string]*workerState),
 		misplaced: make(map[string]*workerState),
 		shapes:    make(map[api.Resources]int),
 	}
 }
 
-func (c *Core) changeVMs(e VMsChanged) {
-	seen := make(map[string]bool, len(e.VMs))
-	for _, vm := range e.VMs {
-		seen[vm.Name] = true
-		c.changeVM(vm)
-	}
-	if e.Full {
-		c.removeUnlisted(seen)
-	}
-	c.setCellCapacity()
-	c.chooseHolders()
-}
-
-func (c *Core) removeUnlisted(listed map[string]bool) {
-	for _, name := range sortedKeys(c.workers.byName) {
-		if !listed[name] {
-			c.removeWorker(c.workers.byName[name])
-		}
+// sorted returns the names of all workers in order.
+func (t *workers) sorted() []string {
+	if t.names == nil {
+		t.names = sortedKeys(t.byName)
 	}
+	return t.names
 }
 
-func (c *Core) changeVM(vm api.VM) {
-	if vm.Role == api.RoleEntry {
-		c.members.leaving[vm.Name] = vm.Leaving || vm.Gone
-		return
-	}
-	w := c.workers.byName[vm.Name]
-	if vm.Gone {
-		if w != nil {
-			c.removeWorker(w)
-		}
+// chooseHolders decides anew which workers this process should hold. It runs
+// when membership changes and takes time proportional to the workers and the
+// entry processes.
+func (c *Core) chooseHolders() {
+	if c.policy == nil {
 		return
 	}
-	if w == nil {
-		w = &workerState{}
-		c.workers.byName[vm.Name] = w
+	list := c.candidates()
+	for _, name := range c.workers.sorted() {
+		c.chooseHolder(c.workers.byName[name], list)
 	}
-	w.vm = vm
-	c.pool.SetLeaving(vm.Name, vm.Leaving)
 }
 
-// removeWorker forgets a worker that no longer exists. What ran there is over.
-func (c *Core) removeWorker(w *workerState) {
-	name := w.vm.Name
-	if w.phase == leaseHeld || w.phase == leaseReleasing {
-		c.dropHeld(w)
+// chooseHoldersOf decides for some workers only, after a change that concerns no
+// others.
+func (c *Core) chooseHoldersOf(changed []*workerState) {
+	if c.policy == nil {
+		return
 	}
-	for _, set := range []map[string]*workerState{c.workers.byName, c.workers.wanted, c.workers.fallback, c.workers.misplaced} {
-		delete(set, name)
+	list := c.candidates()
+	for _, w := range changed {
+		c.chooseHolder(w, list)
 	}
-	c.logEvent("worker_gone", Field{"worker", name})
-	c.workerGone(name)
 }
 
-func (c *Core) setCellCapacity() {
-	clear(c.workers.shapes)
-	var cell api.Resources
-	for _, w := range c.workers.byName {
-		if !w.vm.Leaving {
-			cell = cell.Add(w.vm.Capacity)
-			c.workers.shapes[w.vm.Capacity]++
-		}
+func (c *Core) chooseHolder(w *workerState, list []candidate) {
+	first, second := choose(list, w.vm.Name, w.vm.Domain)
+	w.preferred = first
+	isHeld := w.phase == leaseHeld || w.phase == leaseReleasing
+	switch {
+	case first == c.cfg.Self && !isHeld:
+		c.setRole(w, roleWanted)
+	case first != c.cfg.Self && isHeld:
+		c.setRole(w, roleMisplaced)
+	case second == c.cfg.Self && !isHeld:
+		c.setRole(w, roleFallback)
+	default:
+		c.setRole(w, roleNone)
 	}
-	c.queue.SetCapacity(cell)
 }
 
-// chooseHolders decides anew which workers this process should hold. It runs
-// when membership, the VM list or the bundle changes.
-func (c *Core) chooseHolders() {
-	if c.policy == nil {
+// setRole notes a change of role. A wanted lease is asked for at once.
+func (c *Core) setRole(w *workerState, role leaseRole) {
+	if w.role == role {
 		return
 	}
-	list := c.candidates()
-	wasWanted := c.workers.wanted
-	wasFallback := c.workers.fallback
-	c.workers.wanted = make(map[string]*workerState)
-	c.workers.fallback = make(map[string]*workerState)
-	clear(c.workers.misplaced)
-	for _, name := range sortedKeys(c.workers.byName) {
-		w := c.workers.byName[name]
-		first, second := choose(list, name, w.vm.Domain)
-		w.preferred = first
-		isHeld := w.phase == leaseHeld || w.phase == leaseReleasing
-		switch {
-		case first == c.cfg.Self && !isHeld:
-			c.workers.wanted[name] = w
-			if wasWanted[name] == nil {
-				w.nextTry = c.now
-			}
-		case first != c.cfg.Self && isHeld:
-			c.workers.misplaced[name] = w
-		case second == c.cfg.Self && !isHeld:
-			c.workers.fallback[name] = w
-			if wasFallback[name] == nil {
-				w.nextTry = c.now.Add(fallbackInterval + c.jitter(fallbackInterval))
-			}
-		}
+	if w.role == roleMisplaced {
+		delete(c.workers.misplaced, w.vm.Name)
+	}
+	w.role = role
+	switch role {
+	case roleWanted:
+		c.tryAt(w, c.now)
+	case roleFallback:
+		c.tryAt(w, c.now.Add(fallbackInterval+c.jitter(fallbackInterval)))
+	case roleMisplaced:
+		c.workers.misplaced[w.vm.Name] = w
 	}
 }
 
-// pursueLeases asks for wanted leases and hands misplaced ones over.
+// pursueLeases asks for wanted leases whose time has come and hands misplaced
+// ones over.
 func (c *Core) pursueLeases() {
 	if c.policy == nil {
 		return
 	}
-	for _, name := range sortedKeys(c.workers.wanted) {
-		c.tryAcquire(c.workers.wanted[name])
-	}
-	for _, name := range sortedKeys(c.workers.fallback) {
-		c.tryAcquire(c.workers.fallback[name])
+	for {
+		w := c.workers.tries.next(c.now)
+		if w == nil {
+			break
+		}
+		c.tryAcquire(w)
 	}
 	for _, name := range sortedKeys(c.workers.misplaced) {
 		w := c.workers.misplaced[name]
@@ -198,7 +179,7 @@
 }
 
 func (c *Core) tryAcquire(w *workerState) {
-	if w.phase != leaseNone || c.now.Before(w.nextTry) {
+	if w.phase != leaseNone {
 		return
 	}
 	w.phase = leaseAcquiring
@@ -228,10 +209,10 @@
 	w.heldSince = c.now
 	w.backoff = 0
 	c.workers.heldCount++
-	delete(c.workers.wanted, g.Worker)
-	delete(c.workers.fallback, g.Worker)
-	if w.preferred != c.cfg.Self {
-		c.workers.misplaced[g.Worker] = w
+	if w.preferred == c.cfg.Self {
+		c.setRole(w, roleNone)
+	} else {
+		c.setRole(w, roleMisplaced)
 	}
 	c.pool.Add(c.now, placement.Worker{
 		Name: g.Worker, Domain: w.vm.Domain, Rack: w.vm.Rack,
@@ -273,16 +254,16 @@
 	}
 	w.phase = leaseNone
 	if w.preferred != c.cfg.Self {
-		w.nextTry = c.now.Add(fallbackInterval + c.jitter(fallbackInterval))
+		c.tryAt(w, c.now.Add(fallbackInterval+c.jitter(fallbackInterval)))
 		return
 	}
 	if e.Holder != "" {
 		w.backoff = 0
-		w.nextTry = c.now.Add(min(e.Remaining, c.policy.timing.renew) + c.jitter(minBackoff))
+		c.tryAt(w, c.now.Add(min(e.Remaining, c.policy.timing.renew)+c.jitter(minBackoff)))
 		return
 	}
 	w.backoff = min(max(2*w.backoff, minBackoff), maxBackoff)
-	w.nextTry = c.now.Add(c.jitter(w.backoff))
+	c.tryAt(w, c.now.Add(c.jitter(w.backoff)))
 }
 
 func (c *Core) leaseLost(name string, epoch uint64) {
@@ -292,7 +273,7 @@
 	}
 	c.logEvent("lease_lost", Field{"worker", name}, Field{"epoch", strconv.FormatUint(epoch, 10)})
 	c.dropHeld(w)
-	c.chooseHolders()
+	c.chooseHoldersOf([]*workerState{w})
 }
 
 func (c *Core) leaseReleased(e LeaseReleased) {
@@ -302,7 +283,7 @@
 	}
 	c.logEvent("lease_released", Field{"worker", e.Worker}, Field{"epoch", strconv.FormatUint(e.Epoch, 10)})
 	c.dropHeld(w)
-	c.chooseHolders()
+	c.chooseHoldersOf([]*workerState{w})
 	if w.preferred != (api.EntryRef{}) && w.preferred != c.cfg.Self {
 		c.send(w.preferred, message.HandOver{Workers: []string{e.Worker}})
 	}
@@ -312,7 +293,7 @@
 func (c *Core) handedOver(m message.HandOver) {
 	for _, name := range m.Workers {
 		if w := c.workers.byName[name]; w != nil && w.preferred == c.cfg.Self {
-			w.nextTry = c.now
+			c.tryAt(w, c.now)
 			w.backoff = 0
 		}
 	}
@@ -323,9 +304,7 @@
 // this process on the worker have to be asked for at the next holder.
 func (c *Core) dropHeld(w *workerState) {
 	w.phase = leaseNone
-	w.nextTry = c.now.Add(c.jitter(minBackoff))
 	c.workers.heldCount--
-	delete(c.workers.misplaced, w.vm.Name)
 	c.pool.Remove(w.vm.Name)
 	c.held.dropWorker(w.vm.Name)
 	c.strandWorker(w.vm.Name, c.cfg.Self)
