Index held tasks by coordinator and by end

Cause: two scans of all held tasks a second, for orphans and for ends to send again. Ruled out: a slower pace of the scans, which delays the stop of orphans.

--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -16,6 +16,9 @@
 	reservations map[api.AttemptID]reservation
 	tasks        map[api.AttemptID]*heldTask
 	byWorker     map[string]map[api.AttemptID]*heldTask
+	// byCoordinator and ended spare a look at every task once a second.
+	byCoordinator map[api.EntryRef]map[api.AttemptID]*heldTask // unlogged tasks
+	ended         map[api.AttemptID]*heldTask                  // not acknowledged
 }
 
 // reservation is room that was promised to a coordinator.
@@ -48,33 +51,72 @@
 		reservations: make(map[api.AttemptID]reservation),
 		tasks:        make(map[api.AttemptID]*heldTask),
 		byWorker:     make(map[string]map[api.AttemptID]*heldTask),
+
+		byCoordinator: make(map[api.EntryRef]map[api.AttemptID]*heldTask),
+		ended:         make(map[api.AttemptID]*heldTask),
 	}
 }
 
 func (h *heldTasks) add(t *heldTask) {
 	h.tasks[t.spec.Attempt] = t
-	on := h.byWorker[t.place.Worker]
-	if on == nil {
-		on = make(map[api.AttemptID]*heldTask)
-		h.byWorker[t.place.Worker] = on
+	addTo(h.byWorker, t.place.Worker, t)
+	if !t.spec.Kind.Logged() {
+		addTo(h.byCoordinator, t.spec.Coordinator, t)
+	}
+	if t.phase == heldEnded {
+		h.ended[t.spec.Attempt] = t
 	}
-	on[t.spec.Attempt] = t
 }
 
 func (h *heldTasks) remove(t *heldTask) {
 	delete(h.tasks, t.spec.Attempt)
-	on := h.byWorker[t.place.Worker]
-	delete(on, t.spec.Attempt)
-	if len(on) == 0 {
-		delete(h.byWorker, t.place.Worker)
+	delete(h.ended, t.spec.Attempt)
+	removeFrom(h.byWorker, t.place.Worker, t)
+	removeFrom(h.byCoordinator, t.spec.Coordinator, t)
+}
+
+// setCoordinator moves a task to the process that asks for it.
+func (h *heldTasks) setCoordinator(t *heldTask, ref api.EntryRef) {
+	removeFrom(h.byCoordinator, t.spec.Coordinator, t)
+	t.spec.Coordinator = ref
+	t.report.Spec.Coordinator = ref
+	if !t.spec.Kind.Logged() {
+		addTo(h.byCoordinator, ref, t)
+	}
+}
+
+// setEnded keeps the report of a task until it is acknowledged.
+func (h *heldTasks) setEnded(t *heldTask, report api.TaskReport, now time.Time) {
+	t.phase = heldEnded
+	t.endedAt = now
+	t.report = report
+	h.ended[t.spec.Attempt] = t
+}
+
+func addTo[K comparable](sets map[K]map[api.AttemptID]*heldTask, key K, t *heldTask) {
+	set := sets[key]
+	if set == nil {
+		set = make(map[api.AttemptID]*heldTask)
+		sets[key] = set
+	}
+	set[t.spec.Attempt] = t
+}
+
+func removeFrom[K comparable](sets map[K]map[api.AttemptID]*heldTask, key K, t *heldTask) {
+	set := sets[key]
+	if set == nil {
+		return
+	}
+	delete(set, t.spec.Attempt)
+	if len(set) == 0 {
+		delete(sets, key)
 	}
 }
 
 func (h *heldTasks) dropWorker(name string) {
-	for id := range h.byWorker[name] {
-		delete(h.tasks, id)
+	for _, t := range h.byWorker[name] {
+		h.remove(t)
 	}
-	delete(h.byWorker, name)
 	for id, r := range h.reservations {
 		if r.place.Worker == name {
 			delete(h.reservations, id)
@@ -261,11 +303,10 @@
 	if t == nil || t.phase == heldEnded {
 		return
 	}
-	t.phase = heldEnded
-	t.endedAt = c.now
-	t.report = e.Report
-	t.report.Spec.Payload = nil
-	t.report.Spec.Coordinator = t.spec.Coordinator
+	report := e.Report
+	report.Spec.Payload = nil
+	report.Spec.Coordinator = t.spec.Coordinator
+	c.held.setEnded(t, report, c.now)
 	c.pool.Release(t.spec.Attempt)
 	if !wasInterrupted(e.Report) {
 		ok := e.Report.Outcome == api.OutcomeCompleted
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
@@ -51,8 +53,7 @@
 	t := c.held.tasks[m.Attempt]
 	switch {
 	case t != nil:
-		t.spec.Coordinator = from
-		t.report.Spec.Coordinator = from
+		c.held.setCoordinator(t, from)
 		if t.phase == heldEnded {
 			c.send(from, message.Ended{Report: t.report})
 			return
@@ -75,22 +76,26 @@
 	if c.policy == nil {
 		return
 	}
-	for _, t := range sortedAttempts(c.held.tasks, c.isOrphan) {
-		since, ok := c.members.downSince[t.spec.Coordinator]
-		if !ok {
-			c.members.downSince[t.spec.Coordinator] = c.now
-			continue
-		}
-		if c.now.Sub(since) < c.policy.timing.orphanGrace {
-			continue
+	for _, ref := range slices.SortedFunc(maps.Keys(c.held.byCoordinator), compareRefs) {
+		if !c.isUp(ref) {
+			c.stopOrphansOf(ref)
 		}
-		c.stopOrphan(t)
 	}
 }
 
-// isOrphan reports whether the coordinator of an unlogged attempt is down.
-func (c *Core) isOrphan(t *heldTask) bool {
-	return !t.spec.Kind.Logged() && !c.isUp(t.spec.Coordinator)
+// stopOrphansOf handles the unlogged attempts of a coordinator that is down.
+func (c *Core) stopOrphansOf(ref api.EntryRef) {
+	since, ok := c.members.downSince[ref]
+	if !ok {
+		c.members.downSince[ref] = c.now
+		return
+	}
+	if c.now.Sub(since) < c.policy.timing.orphanGrace {
+		return
+	}
+	for _, t := range sortedAttempts(c.held.byCoordinator[ref], anyAttempt) {
+		c.stopOrphan(t)
+	}
 }
 
 func (c *Core) stopOrphan(t *heldTask) {
@@ -116,17 +121,17 @@
 // lost with a link.
 func (c *Core) resendEnded() {
 	overdue := func(t *heldTask) bool {
-		return t.phase == heldEnded && c.now.Sub(t.endedAt) >= resendInterval && c.isUp(t.spec.Coordinator)
+		return c.now.Sub(t.endedAt) >= resendInterval && c.isUp(t.spec.Coordinator)
 	}
-	for _, t := range sortedAttempts(c.held.tasks, overdue) {
+	for _, t := range sortedAttempts(c.held.ended, overdue) {
 		c.send(t.spec.Coordinator, message.Ended{Report: t.report})
 	}
 }
 
 // resendEndedTo sends the ends that a coordinator with a new link may have missed.
 func (c *Core) resendEndedTo(ref api.EntryRef) {
-	missed := func(t *heldTask) bool { return t.phase == heldEnded && t.spec.Coordinator == ref }
-	for _, t := range sortedAttempts(c.held.tasks, missed) {
+	missed := func(t *heldTask) bool { return t.spec.Coordinator == ref }
+	for _, t := range sortedAttempts(c.held.ended, missed) {
 		c.send(ref, message.Ended{Report: t.report})
 	}
 }
