Keep less per running attempt

A running attempt keeps no list of the holders that it tried and a held task no report before its end.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -36,7 +36,7 @@
 	place     message.Place
 	since     time.Time
 	started   time.Time
-	tried     map[string]bool
+	tried     []string // names of holders, while it looks for room
 	preempted bool
 	cancelled bool
 	counted   bool // in the use of the class and the team
@@ -124,6 +124,7 @@
 
 // proceed commits a reserved attempt, after its start record for a logged job.
 func (c *Core) proceed(a *attempt) {
+	a.tried = nil
 	c.tries.bind(a)
 	c.count(a)
 	t := &a.job.tasks[a.id.Task]
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -41,8 +41,8 @@
 	spec    api.TaskSpec // payload unset
 	place   message.Place
 	phase   heldPhase
-	stopped bool // a stop was sent
-	report  api.TaskReport
+	stopped bool            // a stop was sent
+	report  *api.TaskReport // once ended
 	endedAt time.Time
 }
 
@@ -79,7 +79,9 @@
 func (h *heldTasks) setCoordinator(t *heldTask, ref api.EntryRef) {
 	removeFrom(h.byCoordinator, t.spec.Coordinator, t)
 	t.spec.Coordinator = ref
-	t.report.Spec.Coordinator = ref
+	if t.report != nil {
+		t.report.Spec.Coordinator = ref
+	}
 	if !t.spec.Kind.Logged() {
 		addTo(h.byCoordinator, ref, t)
 	}
@@ -89,7 +91,7 @@
 func (h *heldTasks) setEnded(t *heldTask, report api.TaskReport, now time.Time) {
 	t.phase = heldEnded
 	t.endedAt = now
-	t.report = report
+	t.report = &report
 	h.ended[t.spec.Attempt] = t
 }
 
@@ -313,7 +315,7 @@
 		c.pool.RecordOutcome(c.now, e.Worker, t.spec.Class, t.spec.Team, ok)
 	}
 	c.queue.RoomFreed(c.now)
-	c.send(t.spec.Coordinator, message.Ended{Report: t.report})
+	c.send(t.spec.Coordinator, message.Ended{Report: *t.report})
 }
 
 // Errors that a worker gives for a task that was ended on request.
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -22,14 +22,14 @@
 	for _, r := range reports {
 		r.Spec.Payload = nil
 		t := &heldTask{
-			spec:   r.Spec,
-			place:  message.Place{Attempt: r.Spec.Attempt, Worker: w.vm.Name, Epoch: w.epoch, Boot: w.boot},
-			phase:  heldRunning,
-			report: r,
+			spec:  r.Spec,
+			place: message.Place{Attempt: r.Spec.Attempt, Worker: w.vm.Name, Epoch: w.epoch, Boot: w.boot},
+			phase: heldRunning,
 		}
 		if r.State == api.TaskEnded {
 			t.phase = heldEnded
 			t.endedAt = c.now
+			t.report = &r
 		} else {
 			c.pool.Adopt(c.now, w.vm.Name, r.Spec)
 		}
@@ -55,7 +55,7 @@
 	case t != nil:
 		c.held.setCoordinator(t, from)
 		if t.phase == heldEnded {
-			c.send(from, message.Ended{Report: t.report})
+			c.send(from, message.Ended{Report: *t.report})
 			return
 		}
 		answer.Status = message.AttemptRunning
@@ -124,7 +124,7 @@
 		return c.now.Sub(t.endedAt) >= resendInterval && c.isUp(t.spec.Coordinator)
 	}
 	for _, t := range sortedAttempts(c.held.ended, overdue) {
-		c.send(t.spec.Coordinator, message.Ended{Report: t.report})
+		c.send(t.spec.Coordinator, message.Ended{Report: *t.report})
 	}
 }
 
@@ -132,7 +132,7 @@
 func (c *Core) resendEndedTo(ref api.EntryRef) {
 	missed := func(t *heldTask) bool { return t.spec.Coordinator == ref }
 	for _, t := range sortedAttempts(c.held.ended, missed) {
-		c.send(ref, message.Ended{Report: t.report})
+		c.send(ref, message.Ended{Report: *t.report})
 	}
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
@@ -72,10 +73,7 @@
 	a.since = c.now
 	a.phase = attemptReserving
 	c.tries.reserving[a.id] = a
-	if a.tried == nil {
-		a.tried = make(map[string]bool)
-	}
-	a.tried[holder.Name] = true
+	a.tried = append(a.tried, holder.Name)
 	if p := c.members.peers[holder.Name]; p != nil {
 		p.promised = p.promised.Add(a.job.spec.Resources)
 	}
@@ -108,7 +106,7 @@
 // workers are near, then the best of a few sampled peers. When nobody has room,
 // the last one asked may preempt.
 func (c *Core) nextHolder(a *attempt) (holder api.EntryRef, preempt, ok bool) {
-	if !a.tried[c.cfg.Self.Name] && c.workers.heldCount > 0 {
+	if !slices.Contains(a.tried, c.cfg.Self.Name) && c.workers.heldCount > 0 {
 		return c.cfg.Self, false, true
 	}
 	if p := c.samplePeer(a); p != nil {
@@ -147,7 +145,7 @@
 	sampled := 0
 	for _, i := range c.rng.Perm(len(live)) {
 		p := live[i]
-		if a.tried[p.ref.Name] || !p.mayHold(a.job.spec) {
+		if slices.Contains(a.tried, p.ref.Name) || !p.mayHold(a.job.spec) {
 			continue
 		}
 		if free := p.free().DominantShare(p.summary.Capacity); free > bestFree {
