Admit teams below their share beyond the queue bound

Cause: one team's flood filled its class up to the bound, and the submissions of all other teams of the class were refused. Ruled out: the deadline check, which already counts by team; the place in the queue, which is shared fairly. Up to twice the bound may wait.

--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -24,7 +24,9 @@
 	Floor float64 `json:"floor"`
 	// Ceiling is the largest share of capacity, 0 to 1, that the class may take.
 	Ceiling float64 `json:"ceiling"`
-	// QueueBound is the largest number of waiting tasks per entry process.
+	// QueueBound is the largest number of waiting tasks per entry process. A team
+	// with less than its share of the bound waiting, by weight, is still admitted
+	// beyond it, so that up to twice the bound may wait.
 	QueueBound int `json:"queue_bound"`
 	// DeadlineMS is the time in milliseconds within which a request must start;
 	// 0 for none.
--- a/internal/queue/admission.go
+++ b/internal/queue/admission.go
@@ -20,10 +20,11 @@
 // Offer admits an item to the queue. A refusal is a *fault.Error and takes
 // O(1): Invalid for an unknown class or team, a kind that the class does not
 // take, or bad amounts; Conflict for a key that is waiting or handed out;
-// QueueFull at the class's bound; QuotaExceeded if the team's quota can never
-// hold the item, or is in use and the item is a request; TooLate if the item
-// cannot start by its deadline. RetryAfterMS is 0 where a retry is pointless.
-// A request without a deadline takes the class's.
+// QueueFull at the class's bound, unless the team has less than its share of the
+// bound waiting; QuotaExceeded if the team's quota can never hold the item, or is
+// in use and the item is a request; TooLate if the item cannot start by its
+// deadline. RetryAfterMS is 0 where a retry is pointless. A request without a
+// deadline takes the class's.
 func (q *Queue) Offer(now time.Time, it Item) error {
 	q.observe(now)
 	c := q.classes[it.Class]
@@ -60,7 +61,7 @@
 			fmt.Sprintf("the item needs %d %s and the quota of team %s is %d", e.need.Get(d), d, t.policy.Name, t.policy.Quota.Get(d)),
 			"ask for less or have the quota raised")
 	}
-	if c.waiting >= c.policy.QueueBound {
+	if c.waiting >= c.policy.QueueBound && !c.isBelowShare(c.flow(t)) {
 		return q.later(c, fault.New(fault.QueueFull,
 			fmt.Sprintf("class %s has %d items waiting, its bound", c.policy.Name, c.waiting),
 			"retry after the advised pause"))
--- a/internal/queue/class.go
+++ b/internal/queue/class.go
@@ -245,6 +245,18 @@
 	return best
 }
 
+// isBelowShare reports whether one more item keeps the team within its part, by
+// weight among the teams that wait, of the class's bound. Such items are admitted
+// beyond the bound, so that one team's flood does not shut out the others. The
+// parts add up to the bound, so at most twice the bound waits.
+func (c *class) isBelowShare(f *flow) bool {
+	weight, total := f.team.weight(), c.activeWeight
+	if f.waiting == 0 {
+		total += weight
+	}
+	return float64(f.waiting+1) <= float64(c.policy.QueueBound)*weight/total
+}
+
 // ahead estimates how many waiting items start before a new one of flow f.
 // Fair share bounds it by the flow's own backlog, so that the flood of one
 // team does not cause refusals for the others.
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -84,6 +84,21 @@
 	}
 }
 
+// TestBoundLeavesRoomForOtherTeams guards against a flood of one team that fills
+// the class and shuts out the others, and against a queue that grows past twice
+// the bound.
+func TestBoundLeavesRoomForOtherTeams(t *testing.T) {
+	q := policy(10, []bundle.Class{{Name: "a", QueueBound: 10}}, "flood", "y", "z")
+	admitted := map[string]int{}
+	for i := range 60 {
+		team := []string{"flood", "y", "z"}[i/20]
+		if q.Offer(epoch, task(fmt.Sprint(i), team, "a", 1)) == nil {
+			admitted[team]++
+		}
+	}
+	assert.DeepEqual(t, admitted, map[string]int{"flood": 10, "y": 5, "z": 3})
+}
+
 // TestQuotaHoldsLoggedWork guards against logged work that is refused, or that
 // starts beyond the quota, while the quota is in use.
 func TestQuotaHoldsLoggedWork(t *testing.T) {
