--- a/test/cell_test.go
+++ b/test/cell_test.go
@@ -67,6 +67,9 @@
 	key      ed25519.PrivateKey
 	entries  map[string]*entry
 	version  uint64
+	domains  int // of the entry processes; 0 for one each
+	// measuring are the callers of measurements, by entry process.
+	measuring map[string]*caller.Client
 }
 
 // entry is one entry process and the proxies around it.
@@ -86,6 +89,7 @@
 	workers  int
 	capacity api.Resources
 	log      standin.LogConfig
+	domains  int // of the entry processes; 0 for one each
 }
 
 func defaultOptions() cellOptions {
@@ -120,7 +124,8 @@
 	assert.NilError(t, err)
 	_, key, err := ed25519.GenerateKey(nil)
 	assert.NilError(t, err)
-	c := &cell{t: t, dir: t.TempDir(), platform: platform, key: key, entries: make(map[string]*entry)}
+	c := &cell{t: t, dir: t.TempDir(), platform: platform, key: key, entries: make(map[string]*entry),
+		domains: o.domains, measuring: make(map[string]*caller.Client)}
 	t.Cleanup(c.close)
 	return c
 }
@@ -148,7 +153,7 @@
 // startEntry starts an entry process and lists its VM.
 func (c *cell) startEntry(name string) *entry {
 	c.t.Helper()
-	e := &entry{name: name, domain: string('a' + name[len(name)-1] - '0'), exited: make(chan error, 1)}
+	e := &entry{name: name, domain: c.domainOf(name), exited: make(chan error, 1)}
 	e.log = startProxy(c.t, c.platform.Addresses().Log)
 	e.command = exec.Command(filepath.Join(binaries, "fulmarlatchd"), "--config", c.writeSettings(e))
 	logFile, err := os.Create(filepath.Join(c.dir, fmt.Sprintf("%s-%d.log", name, time.Now().UnixNano())))
@@ -171,6 +176,15 @@
 	return e
 }
 
+// domainOf returns the failure domain of an entry process.
+func (c *cell) domainOf(name string) string {
+	number := int(name[len(name)-1] - '0')
+	if c.domains > 0 {
+		number %= c.domains
+	}
+	return string(rune('a' + number))
+}
+
 func (c *cell) writeSettings(e *entry) string {
 	public := c.key.Public().(ed25519.PublicKey)
 	local := map[string]string{"listen": "127.0.0.1:0"}
--- /dev/null
+++ b/test/measure_test.go
@@ -0,0 +1,272 @@
+package test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/bundle"
+	"github.com/fulmarlatch/fulmarlatch/internal/measure"
+	"github.com/fulmarlatch/fulmarlatch/internal/standin"
+	"github.com/fulmarlatch/fulmarlatch/internal/upstream"
+)
+
+const (
+	measuredWorkers = 50
+	restLength      = 5 * time.Second
+	loadLength      = 4 * time.Second
+	loadSeed        = 5
+	// clockTicks is the number of ticks a second in /proc/PID/stat on Linux.
+	clockTicks = 100
+)
+
+// enquiryShape is the worker of the enquiry desk.
+var enquiryShape = api.Resources{CPUMilli: 16000, MemoryMB: 32000, Slots: 8, Connections: 60}
+
+// usage sums what all entry processes have used.
+type usage struct {
+	cpu                        time.Duration
+	written                    float64 // bytes by write calls, on all sockets and files
+	linkBytes, linkMessages    float64 // sent between entry processes, without heartbeats in the messages
+	resident, largestResident  float64 // bytes
+	tasks, processes, appended float64
+}
+
+func (c *cell) usage() usage {
+	var u usage
+	for _, e := range c.entries {
+		pid := e.command.Process.Pid
+		stat := procFields(c.t, pid, "stat")
+		u.cpu += time.Duration(atoi(c.t, stat[13])+atoi(c.t, stat[14])) * time.Second / clockTicks
+		u.written += procValue(c.t, pid, "io", "wchar:")
+		resident := 1024 * procValue(c.t, pid, "status", "VmRSS:")
+		u.resident += resident
+		u.largestResident = max(u.largestResident, resident)
+		d := e.dump()
+		for _, l := range d.Links {
+			u.linkBytes += float64(l.BytesSent)
+			u.linkMessages += float64(l.MessagesSent)
+		}
+		u.tasks += float64(d.Core.Counters.Commits)
+		u.appended += float64(d.Core.Counters.Appends)
+		u.processes++
+	}
+	return u
+}
+
+func procFields(t *testing.T, pid int, file string) []string {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pid, file))
+	assert.NilError(t, err)
+	return strings.Fields(string(data))
+}
+
+// procValue returns the number after a name in a file of /proc/PID.
+func procValue(t *testing.T, pid int, file, name string) float64 {
+	fields := procFields(t, pid, file)
+	for i, f := range fields {
+		if f == name {
+			return float64(atoi(t, fields[i+1]))
+		}
+	}
+	t.Fatalf("/proc/%d/%s has no %s", pid, file, name)
+	return 0
+}
+
+func atoi(t *testing.T, s string) int64 {
+	n, err := strconv.ParseInt(s, 10, 64)
+	assert.NilError(t, err)
+	return n
+}
+
+// report writes the mean per process and second between two readings.
+func (c *cell) report(label string, before, after usage, elapsed time.Duration) {
+	per := after.processes * elapsed.Seconds()
+	measure.Figure(c.t, label+"processor time", float64((after.cpu-before.cpu).Milliseconds())/per, "ms/s per process")
+	measure.Figure(c.t, label+"written to sockets and the log file", (after.written-before.written)/per, "bytes/s per process")
+	measure.Figure(c.t, label+"sent on links", (after.linkBytes-before.linkBytes)/per, "bytes/s per process")
+	measure.Figure(c.t, label+"messages on links", (after.linkMessages-before.linkMessages)/per, "messages/s per process")
+	measure.Figure(c.t, label+"resident memory, mean", after.resident/after.processes/(1<<20), "MiB")
+	starts := after.tasks - before.tasks
+	if starts == 0 {
+		return
+	}
+	measure.Figure(c.t, label+"starts reached", starts/elapsed.Seconds(), "1/s")
+	measure.Figure(c.t, label+"processor time per start, whole cell", float64((after.cpu-before.cpu).Microseconds())/starts, "us")
+	measure.Figure(c.t, label+"written per start, whole cell", (after.written-before.written)/starts, "bytes")
+	measure.Figure(c.t, label+"link messages per start", (after.linkMessages-before.linkMessages)/starts, "messages")
+}
+
+// latencies are the times from submission to the answer.
+type latencies struct {
+	mu     sync.Mutex // guards list
+	list   []time.Duration
+	failed int
+}
+
+func (l *latencies) note(d time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !ok {
+		l.failed++
+		return
+	}
+	l.list = append(l.list, d)
+}
+
+func (c *cell) reportLatency(label string, l *latencies) {
+	for _, q := range []float64{0.5, 0.99, 0.999} {
+		measure.Figure(c.t, fmt.Sprintf("%slatency p%g", label, 100*q), float64(measure.Quantile(l.list, q).Microseconds())/1000, "ms")
+	}
+	measure.Figure(c.t, label+"failed", float64(l.failed), "requests")
+}
+
+// offer sends requests at a rate, counted from when they were due, so that a slow
+// cell does not hide its own delays.
+func (c *cell) offer(rate float64, run time.Duration) *latencies {
+	l := &latencies{}
+	rng := rand.New(rand.NewPCG(loadSeed, uint64(rate)))
+	var group conc.WaitGroup
+	names := sortedNames(c.entries)
+	due, end := time.Now(), time.Now().Add(loadLength)
+	for i := 0; due.Before(end); i++ {
+		time.Sleep(time.Until(due))
+		client, began := c.measuring[names[i%len(names)]], due
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			answer := client.Submit(ctx, request(run, 100))
+			l.note(time.Since(began), answer.Outcome == api.OutcomeCompleted)
+		})
+		due = due.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+	}
+	group.Wait()
+	return l
+}
+
+// saturate keeps a number of requests in progress at each entry process.
+func (c *cell) saturate(callers int) *latencies {
+	l := &latencies{}
+	var group conc.WaitGroup
+	end := time.Now().Add(loadLength)
+	for _, name := range sortedNames(c.entries) {
+		for range callers {
+			group.Go(func() {
+				for time.Now().Before(end) {
+					began := time.Now()
+					answer := c.measuring[name].Submit(context.Background(), request(0, 100))
+					l.note(time.Since(began), answer.Outcome == api.OutcomeCompleted)
+				}
+			})
+		}
+	}
+	group.Wait()
+	return l
+}
+
+// startMeasured starts a cell of the enquiry desk's size, with entry processes in
+// three failure domains.
+func startMeasured(t *testing.T, entries int) *cell {
+	o := defaultOptions()
+	o.entries, o.workers, o.capacity, o.domains = entries, measuredWorkers, enquiryShape, 3
+	c := newCell(t, o)
+	for i := range o.entries {
+		c.startEntry(entryName(i))
+	}
+	b := testBundle()
+	b.Classes = []bundle.Class{{Name: "urgent", Rank: 1, Ceiling: 1, QueueBound: 5000, DeadlineMS: 10000, RetryBudget: 0.1, MaxAttempts: 2},
+		{Name: "bulk", Rank: 5, Ceiling: 1, QueueBound: 5000, RetryBudget: 0.1, MaxAttempts: 2}}
+	c.roll(b)
+	c.awaitReady()
+	c.awaitHeld(o.workers)
+	for name := range c.entries {
+		c.measuring[name] = c.client(name)
+	}
+	return c
+}
+
+func sortedNames(entries map[string]*entry) []string {
+	return slices.Sorted(maps.Keys(entries))
+}
+
+// TestMeasureProcesses measures entry processes at rest and under load with 50
+// workers.
+func TestMeasureProcesses(t *testing.T) {
+	measure.Start(t)
+	for _, entries := range []int{3, 6, 9} {
+		c := startMeasured(t, entries)
+		label := fmt.Sprintf("%d processes, ", entries)
+		before, began := c.usage(), time.Now()
+		time.Sleep(restLength)
+		c.report(label+"at rest: ", before, c.usage(), time.Since(began))
+		for _, rate := range []float64{50, 200, 600} {
+			before, began = c.usage(), time.Now()
+			l := c.offer(rate, 20*time.Millisecond)
+			elapsed := time.Since(began)
+			c.report(fmt.Sprintf("%s%.0f/s: ", label, rate), before, c.usage(), elapsed)
+			c.reportLatency(fmt.Sprintf("%s%.0f/s, 20 ms of work: ", label, rate), l)
+		}
+		before, began = c.usage(), time.Now()
+		l := c.saturate(64)
+		c.report(label+"64 callers each: ", before, c.usage(), time.Since(began))
+		c.reportLatency(label+"64 callers each, no work: ", l)
+		c.checkWorkers()
+		c.close()
+		c.entries = nil
+	}
+	measureDirect(t)
+}
+
+// directSink waits for the end of one attempt at a time.
+type directSink struct{ ended chan struct{} }
+
+func (directSink) Granted(api.Grant)                                     {}
+func (directSink) Lost(string, uint64)                                   {}
+func (directSink) Released(string, uint64)                               {}
+func (directSink) Started(string, uint64, api.AttemptID)                 {}
+func (directSink) StartRefused(string, uint64, api.AttemptID, error)     {}
+func (s directSink) Ended(string, uint64, api.TaskReport)                { s.ended <- struct{}{} }
+func (directSink) Usage(string, uint64, map[api.AttemptID]api.Resources) {}
+
+// measureDirect measures calls to a stand-in worker without an entry process.
+func measureDirect(t *testing.T) {
+	platform, err := standin.Start(standin.Config{Workers: []standin.WorkerGroup{{Prefix: "worker", Count: 1, Capacity: enquiryShape}}})
+	assert.NilError(t, err)
+	defer func() { _ = platform.Close() }()
+	client := upstream.NewClient(platform.Addresses().Workers["worker-000"])
+	defer client.Close()
+	held, err := client.Lease(context.Background(), "direct", 3*time.Second, time.Minute)
+	assert.NilError(t, err)
+	sink := directSink{ended: make(chan struct{}, 1)}
+	session := upstream.NewSession(client, upstream.Config{Lease: 3 * time.Second, TaskLease: time.Minute, Renew: time.Second}, held, sink)
+	var group conc.WaitGroup
+	group.Go(func() { _ = session.Hold(context.Background()) })
+	for _, run := range []time.Duration{0, 20 * time.Millisecond} {
+		var list []time.Duration
+		for i := range 100 {
+			j := request(run, 100)
+			id := api.AttemptID{Job: fmt.Sprintf("direct.1.%d-%v", i, run), Number: 1}
+			began := time.Now()
+			session.Start(api.TaskSpec{Attempt: id, Class: "urgent", Kind: j.Kind, Resources: j.Resources, Payload: j.Payload})
+			<-sink.ended
+			list = append(list, time.Since(began))
+			session.Acknowledge([]api.AttemptID{id})
+		}
+		for _, q := range []float64{0.5, 0.99} {
+			measure.Figure(t, fmt.Sprintf("direct call, %v of work: latency p%g", run, 100*q), float64(measure.Quantile(list, q).Microseconds())/1000, "ms")
+		}
+	}
+	session.Release()
+	group.Wait()
+}
