--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -38,7 +38,7 @@
 // usage sums what all entry processes have used.
 type usage struct {
 	cpu                        time.Duration
-	written                    float64 // bytes by write calls, on all sockets and files
+	written, read              float64 // bytes by calls on all sockets and files
 	linkBytes, linkMessages    float64 // sent between entry processes, without heartbeats in the messages
 	resident, largestResident  float64 // bytes
 	tasks, processes, appended float64
@@ -51,9 +51,12 @@
 		stat := procFields(c.t, pid, "stat")
 		u.cpu += time.Duration(atoi(c.t, stat[13])+atoi(c.t, stat[14])) * time.Second / clockTicks
 		u.written += procValue(c.t, pid, "io", "wchar:")
+		u.read += procValue(c.t, pid, "io", "rchar:")
 		resident := 1024 * procValue(c.t, pid, "status", "VmRSS:")
 		u.resident += resident
 		u.largestResident = max(u.largestResident, resident)
+	}
+	for _, e := range c.entries { // after the readings, because a dump costs time
 		d := e.dump()
 		for _, l := range d.Links {
 			u.linkBytes += float64(l.BytesSent)
@@ -95,6 +98,7 @@
 	per := after.processes * elapsed.Seconds()
 	measure.Figure(c.t, label+"processor time", float64((after.cpu-before.cpu).Milliseconds())/per, "ms/s per process")
 	measure.Figure(c.t, label+"written to sockets and the log file", (after.written-before.written)/per, "bytes/s per process")
+	measure.Figure(c.t, label+"read from sockets", (after.read-before.read)/per, "bytes/s per process")
 	measure.Figure(c.t, label+"sent on links", (after.linkBytes-before.linkBytes)/per, "bytes/s per process")
 	measure.Figure(c.t, label+"messages on links", (after.linkMessages-before.linkMessages)/per, "messages/s per process")
 	measure.Figure(c.t, label+"resident memory, mean", after.resident/after.processes/(1<<20), "MiB")
@@ -175,19 +179,23 @@
 	return l
 }
 
-// startMeasured starts a cell of the enquiry desk's size, with entry processes in
+func measuredBundle() bundle.Bundle {
+	b := testBundle()
+	b.Classes = []bundle.Class{{Name: "urgent", Rank: 1, Ceiling: 1, QueueBound: 5000, DeadlineMS: 10000, RetryBudget: 0.1, MaxAttempts: 2},
+		{Name: "bulk", Rank: 5, Ceiling: 1, QueueBound: 5000, RetryBudget: 0.1, MaxAttempts: 2}}
+	return b
+}
+
+// startCellOf starts a cell of the enquiry desk's size, with entry processes in
 // three failure domains.
-func startMeasured(t *testing.T, entries int) *cell {
+func startCellOf(t *testing.T, entries, workers int) *cell {
 	o := defaultOptions()
-	o.entries, o.workers, o.capacity, o.domains = entries, measuredWorkers, enquiryShape, 3
+	o.entries, o.workers, o.capacity, o.domains = entries, workers, enquiryShape, 3
 	c := newCell(t, o)
 	for i := range o.entries {
 		c.startEntry(entryName(i))
 	}
-	b := testBundle()
-	b.Classes = []bundle.Class{{Name: "urgent", Rank: 1, Ceiling: 1, QueueBound: 5000, DeadlineMS: 10000, RetryBudget: 0.1, MaxAttempts: 2},
-		{Name: "bulk", Rank: 5, Ceiling: 1, QueueBound: 5000, RetryBudget: 0.1, MaxAttempts: 2}}
-	c.roll(b)
+	c.roll(measuredBundle())
 	c.awaitReady()
 	c.awaitHeld(o.workers)
 	for name := range c.entries {
@@ -205,7 +213,7 @@
 func TestMeasureProcesses(t *testing.T) {
 	measure.Start(t)
 	for _, entries := range []int{3, 6, 9} {
-		c := startMeasured(t, entries)
+		c := startCellOf(t, entries, measuredWorkers)
 		label := fmt.Sprintf("%d processes, ", entries)
 		before, began := c.usage(), time.Now()
 		time.Sleep(restLength)
@@ -228,6 +236,59 @@
 	measureDirect(t)
 }
 
+// TestMeasureRest measures what a held worker costs at rest, as the slope over the
+// number of workers of three processes.
+func TestMeasureRest(t *testing.T) {
+	measure.Start(t)
+	var held, cpu, written, read, resident []float64
+	for _, workers := range []int{30, 150, 300} {
+		c := startCellOf(t, 3, workers)
+		time.Sleep(2 * time.Second)
+		before, began := c.usage(), time.Now()
+		time.Sleep(2 * restLength)
+		after, seconds := c.usage(), time.Since(began).Seconds()
+		held = append(held, float64(workers))
+		cpu = append(cpu, float64((after.cpu-before.cpu).Microseconds())/seconds)
+		written = append(written, (after.written-before.written)/seconds)
+		read = append(read, (after.read-before.read)/seconds)
+		resident = append(resident, after.resident)
+		c.report(fmt.Sprintf("3 processes, %d workers, at rest: ", workers), before, after, time.Since(began))
+		c.close()
+		c.entries = nil
+	}
+	measure.Figure(t, "per held worker: processor time", measure.Slope(held, cpu), "us/s")
+	measure.Figure(t, "per held worker: written", measure.Slope(held, written), "bytes/s")
+	measure.Figure(t, "per held worker: read", measure.Slope(held, read), "bytes/s")
+	measure.Figure(t, "per held worker: resident memory", measure.Slope(held, resident), "bytes")
+}
+
+// TestMeasureRollTime measures the time from the append of a roll until it is in
+// force at nine processes.
+func TestMeasureRollTime(t *testing.T) {
+	measure.Start(t)
+	c := startCellOf(t, 9, measuredWorkers)
+	var times []time.Duration
+	for i := range 20 {
+		b := measuredBundle()
+		b.Comment = fmt.Sprint("change ", i)
+		b.Classes[0].QueueBound += i
+		began := time.Now()
+		number := c.roll(b)
+		c.awaitRoll(number)
+		times = append(times, time.Since(began))
+	}
+	measure.Figure(t, "9 processes: roll in force everywhere, p50", float64(measure.Quantile(times, 0.5).Milliseconds()), "ms")
+	measure.Figure(t, "9 processes: roll in force everywhere, longest of 20", float64(measure.Quantile(times, 1).Milliseconds()), "ms")
+}
+
+func (c *cell) awaitRoll(number uint64) {
+	for _, e := range c.entries {
+		for e.readiness().Roll < number {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
 // directSink waits for the end of one attempt at a time.
 type directSink struct{ ended chan struct{} }
 
