Return the answers of batch and gang tasks

Cause: a caller of a batch heard how many tasks completed, not their answers, and the entry process that read the answers may be gone when the caller asks. Ruled out: keeping answers at the worker until the caller asks, which holds slots of the acknowledgement list for as long as callers like; answers of any length in the log, which takes several hundred appends a second. Before: End records carried the answer and nobody returned it. After: any entry process returns the results after the coordinator was killed (TestBatchAdopted); longer answers than 16 KiB are reported by their length. Conclusion: a request stays the way to get a large answer.

--- a/internal/api/answer.go
+++ b/internal/api/answer.go
@@ -25,6 +25,28 @@
 	WaitMS int64 `json:"wait_ms" cbor:"5,keyasint,omitempty"`
 	// Tasks counts tasks by state for logged jobs.
 	Tasks *TaskCounts `json:"tasks,omitempty" cbor:"6,keyasint,omitempty"`
+	// Results are the answers of the tasks of a finished batch or gang, in order
+	// of task numbers.
+	Results []TaskResult `json:"results,omitempty" cbor:"7,keyasint,omitempty"`
+}
+
+// TaskResult is the outcome and answer of one task of a logged job.
+type TaskResult struct {
+	Task    int     `json:"task" cbor:"1,keyasint"`
+	Outcome Outcome `json:"outcome" cbor:"2,keyasint"`
+	// Body is the upstream's answer, unchanged.
+	Body []byte `json:"body,omitempty" cbor:"3,keyasint,omitempty"`
+	// OmittedBytes is the length of an answer that was too long to be kept.
+	OmittedBytes int64 `json:"omitted_bytes,omitempty" cbor:"4,keyasint,omitempty"`
+}
+
+// BodyBytes returns the size of all answers in a.
+func (a *Answer) BodyBytes() int {
+	size := len(a.Body)
+	for i := range a.Results {
+		size += len(a.Results[i].Body)
+	}
+	return size
 }
 
 // TaskCounts counts the tasks of a job by state.
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -18,16 +18,52 @@
 	Error        *fault.Error    `json:"error,omitempty"`
 	WaitMS       int64           `json:"wait_ms"`
 	Tasks        *api.TaskCounts `json:"tasks,omitempty"`
+	Results      []taskResult    `json:"results,omitempty"`
 	AnswerBase64 []byte          `json:"answer_base64,omitempty"`
 	// Answer is spliced in by EncodeAnswer, because encoding/json would change
 	// the white space of the upstream's answer.
 	Answer json.RawMessage `json:"answer,omitempty"`
 }
 
+// taskResult is the JSON form of api.TaskResult. An answer that encoding/json
+// would not keep byte for byte is sent in base64.
+type taskResult struct {
+	Task         int             `json:"task"`
+	Outcome      api.Outcome     `json:"outcome"`
+	Answer       json.RawMessage `json:"answer,omitempty"`
+	AnswerBase64 []byte          `json:"answer_base64,omitempty"`
+	OmittedBytes int64           `json:"omitted_bytes,omitempty"`
+}
+
+func encodeResults(results []api.TaskResult) []taskResult {
+	encoded := make([]taskResult, len(results))
+	for i, r := range results {
+		encoded[i] = taskResult{Task: r.Task, Outcome: r.Outcome, OmittedBytes: r.OmittedBytes}
+		if kept, err := json.Marshal(json.RawMessage(r.Body)); err == nil && bytes.Equal(kept, r.Body) {
+			encoded[i].Answer = r.Body
+		} else {
+			encoded[i].AnswerBase64 = r.Body
+		}
+	}
+	return encoded
+}
+
+func decodeResults(encoded []taskResult) []api.TaskResult {
+	var results []api.TaskResult
+	for _, r := range encoded {
+		body := r.AnswerBase64
+		if len(r.Answer) > 0 {
+			body = r.Answer
+		}
+		results = append(results, api.TaskResult{Task: r.Task, Outcome: r.Outcome, Body: body, OmittedBytes: r.OmittedBytes})
+	}
+	return results
+}
+
 // EncodeAnswer returns the JSON form of an answer. A body that is JSON keeps
 // every byte.
 func EncodeAnswer(a api.Answer) ([]byte, error) {
-	e := envelope{JobID: a.JobID, Outcome: a.Outcome, Error: a.Error, WaitMS: a.WaitMS, Tasks: a.Tasks}
+	e := envelope{JobID: a.JobID, Outcome: a.Outcome, Error: a.Error, WaitMS: a.WaitMS, Tasks: a.Tasks, Results: encodeResults(a.Results)}
 	raw := isPlainJSON(a.Body)
 	if !raw {
 		e.AnswerBase64 = a.Body
@@ -59,7 +95,7 @@
 	if !isOutcome(e.Outcome) {
 		return api.Answer{}, fmt.Errorf("outcome %q is unknown", e.Outcome)
 	}
-	a := api.Answer{JobID: e.JobID, Outcome: e.Outcome, Error: e.Error, WaitMS: e.WaitMS, Tasks: e.Tasks}
+	a := api.Answer{JobID: e.JobID, Outcome: e.Outcome, Error: e.Error, WaitMS: e.WaitMS, Tasks: e.Tasks, Results: decodeResults(e.Results)}
 	a.Body = e.AnswerBase64
 	if len(e.Answer) > 0 {
 		a.Body = e.Answer
--- a/internal/caller/answer_test.go
+++ b/internal/caller/answer_test.go
@@ -35,6 +35,10 @@
 		a := api.Answer{JobID: "j", Outcome: api.OutcomeFailed, WaitMS: 3, Tasks: &api.TaskCounts{Failed: 1}, Error: fault.New(fault.TaskFailed, "m", "r")}
 		if body != "" {
 			a.Body = []byte(body)
+			a.Results = []api.TaskResult{
+				{Outcome: api.OutcomeCompleted, Body: []byte(body)},
+				{Task: 1, Outcome: api.OutcomeCompleted, OmittedBytes: 20000},
+			}
 		}
 		data, err := EncodeAnswer(a)
 		assert.NilError(t, err)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -139,6 +139,9 @@
 	status := cell.answer("e1", 2)
 	assert.Equal(t, status.Outcome, api.OutcomeCompleted)
 	assert.Equal(t, status.Tasks.Completed, 30)
+	for _, r := range status.Results {
+		assert.Equal(t, string(r.Body), accepted.JobID, "answer of task %d", r.Task)
+	}
 }
 
 // TestPausedCoordinatorIsReplaced guards against two coordinators of one job: the
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -36,6 +36,9 @@
 	outcome  api.Outcome
 	// place is where the last attempt of a logged job may run, as the log says.
 	place placeRef
+	// body and omitted are the answer of a done task of a logged job.
+	body    []byte
+	omitted int64
 }
 
 // placeRef names a worker under one epoch and boot.
@@ -170,7 +173,7 @@
 		return
 	}
 	c.jobs.finished = append(c.jobs.finished, j)
-	c.jobs.bodyBytes += len(answer.Body)
+	c.jobs.bodyBytes += answer.BodyBytes()
 }
 
 // forgetFinished drops the oldest finished jobs past their retention, and their
@@ -184,7 +187,7 @@
 			break
 		}
 		drop++
-		t.bodyBytes -= len(j.final.Body)
+		t.bodyBytes -= j.final.BodyBytes()
 		if t.byID[j.spec.ID] == j {
 			delete(t.byID, j.spec.ID)
 		}
@@ -194,7 +197,7 @@
 		if t.bodyBytes <= maxFinishedBody {
 			break
 		}
-		t.bodyBytes -= len(j.final.Body)
+		t.bodyBytes -= j.final.BodyBytes()
 		j.dropBody()
 	}
 	for ref, k := range t.keys {
@@ -206,11 +209,13 @@
 
 // dropBody replaces the kept answer by one that says that it is gone.
 func (j *job) dropBody() {
-	if len(j.final.Body) == 0 {
+	if j.final.BodyBytes() == 0 {
 		return
 	}
 	answer := *j.final
 	answer.Body = nil
+	answer.Results = nil
+	j.tasks = nil
 	answer.Error = errAnswerDropped(j.spec.ID)
 	j.final = &answer
 }
@@ -220,6 +225,16 @@
 	return api.Answer{JobID: j.spec.ID, Outcome: api.OutcomeAccepted, Tasks: j.counts()}
 }
 
+// results returns the answers of the tasks of a logged job.
+func (j *job) results() []api.TaskResult {
+	list := make([]api.TaskResult, len(j.tasks))
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		list[i] = api.TaskResult{Task: i, Outcome: t.outcome, Body: t.body, OmittedBytes: t.omitted}
+	}
+	return list
+}
+
 // counts returns the number of tasks by state.
 func (j *job) counts() *api.TaskCounts {
 	counts := &api.TaskCounts{}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -212,6 +212,8 @@
 	} else {
 		t.phase = taskDone
 		t.outcome = m.Outcome
+		t.body = m.Body
+		t.omitted = m.OmittedBytes
 		j.open--
 	}
 	if a != nil && a.phase == attemptClosing {
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -151,7 +151,7 @@
 		return
 	}
 	counts := j.counts()
-	answer := api.Answer{Outcome: api.OutcomeCompleted, Tasks: counts}
+	answer := api.Answer{Outcome: api.OutcomeCompleted, Tasks: counts, Results: j.results()}
 	switch {
 	case counts.Completed == len(j.tasks):
 	case counts.Unknown > 0:
@@ -193,8 +193,10 @@
 func (c *Core) closeLogged(a *attempt, res result, retry bool) {
 	a.phase = attemptClosing
 	a.end = &record.End{Attempt: a.id, Outcome: res.outcome, Retry: retry}
-	if len(res.body) <= record.MaxBodyBytes {
-		a.end.Body = res.body
+	a.end.Body = res.body
+	if len(res.body) > record.MaxBodyBytes {
+		a.end.Body = nil
+		a.end.OmittedBytes = int64(len(res.body))
 	}
 	c.append(record.Record{End: a.end})
 }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -76,6 +76,8 @@
 	Retry   bool          `cbor:"3,keyasint,omitempty"`
 	// Body is the task's answer, up to MaxBodyBytes; longer answers are not kept.
 	Body []byte `cbor:"4,keyasint,omitempty"`
+	// OmittedBytes is the length of an answer that is not kept.
+	OmittedBytes int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // MaxBodyBytes bounds the answer of a task that is kept in the log.
