Take the peers' timing from the bundle

Cause: heartbeat_ms and peer_down_ms of the bundle had no effect; links kept the defaults. Ruled out: reconnecting all links on a change, which would strand attempts. After: a new roll changes the timers of links that are up. Conclusion: the cell follows the bundle in this point too.

--- a/internal/node/rolls.go
+++ b/internal/node/rolls.go
@@ -86,11 +86,16 @@
 		zap.String("source", source))
 	n.rolls.inForce = change.Roll.ID
 	n.teams.Store(newTeamTokens(change.Bundle.Teams))
+	n.setPeerTiming(change.Bundle.Timing)
 	n.step(core.BundleChanged{Roll: change.Roll.Number, Bundle: change.Bundle})
 	n.publishSummary()
 	n.publishStatus()
 }
 
+func (n *Node) setPeerTiming(t bundle.Timing) {
+	n.mesh.SetTiming(time.Duration(t.HeartbeatMS)*time.Millisecond, time.Duration(t.PeerDownMS)*time.Millisecond)
+}
+
 // fetchInterval bounds how often one peer is asked for its roll.
 const fetchInterval = time.Second
 
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -83,15 +83,16 @@
 
 // monitor sends heartbeats and ends the link when the peer's fail to arrive.
 func (l *link) monitor() {
-	ticker := time.NewTicker(l.mesh.cfg.HeartbeatInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		if err := l.beat(time.Now()); err != nil {
 			l.fail(err)
 			return
 		}
+		timer.Reset(time.Duration(l.mesh.interval.Load()))
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-l.failed:
 			return
 		}
@@ -99,7 +100,7 @@
 }
 
 func (l *link) beat(now time.Time) error {
-	if err := l.pulse.check(now, l.mesh.cfg.DownAfter, l.bulk.sent.Load()-helloFrames); err != nil {
+	if err := l.pulse.check(now, time.Duration(l.mesh.downAfter.Load()), l.bulk.sent.Load()-helloFrames); err != nil {
 		return err
 	}
 	version, summary := l.mesh.currentSummary()
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
@@ -33,6 +35,9 @@
 	listener net.Listener
 	group    conc.WaitGroup // dialers and accepted connections
 
+	interval  atomic.Int64 // pause between heartbeats, in nanoseconds
+	downAfter atomic.Int64 // silence after which a peer is down, in nanoseconds
+
 	summaryMu      sync.Mutex
 	summary        *message.Summary
 	summaryVersion uint64
@@ -46,11 +51,19 @@
 		slots:   map[string]*slot{},
 		retired: map[string]*link{},
 	}
+	m.SetTiming(m.cfg.HeartbeatInterval, m.cfg.DownAfter)
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.app = newApp(m)
 	return m
 }
 
+// SetTiming changes the pause between two heartbeats and the silence after which
+// a peer is down, also for links that are up. Both must be positive.
+func (m *Mesh) SetTiming(interval, downAfter time.Duration) {
+	m.interval.Store(int64(interval))
+	m.downAfter.Store(int64(downAfter))
+}
+
 // Serve accepts links on the listener until Close, and then returns nil. It
 // closes the listener.
 func (m *Mesh) Serve(listener net.Listener) error {
