Secure the links between entry processes by mutual TLS

Cause: whoever reached the peer listener and knew a listed name could act as an entry process. Ruled out: checking certificates against addresses, which change with every replaced VM; the name of the entry process is stable. Before: no TLS towards peers. After: with tls set on the peer listener, a process dials with its certificate, and both sides require a certificate with the other's entry name. Conclusion: links without TLS remain possible by the settings.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,7 +98,12 @@
 	n.core = core.New(core.Config{Self: n.self, Domain: s.Domain, Seed: n.self.Incarnation})
 	n.readiness.Store(&operator.Readiness{Entry: s.Entry, Reasons: []string{reasonNoBundle}})
 	n.workers = newWorkerDriver(n)
-	n.mesh = peer.New(peer.Config{Self: n.self, Domain: s.Domain, Logger: log}, meshHandler{n})
+	peerTLS, err := dialConfig(s.Peer.TLS)
+	if err != nil {
+		n.listeners.close()
+		return nil, err
+	}
+	n.mesh = peer.New(peer.Config{Self: n.self, Domain: s.Domain, TLS: peerTLS, Logger: log}, meshHandler{n})
 	n.members = newMemberList(n)
 	n.openLog()
 	n.vmClient = vmlist.NewClient(s.VMList)
@@ -153,6 +158,14 @@
 	return tls.NewListener(listener, config), nil
 }
 
+// dialConfig returns how to dial peers: with the certificate of the peer listener.
+func dialConfig(t *settings.TLS) (*tls.Config, error) {
+	if t == nil {
+		return nil, nil
+	}
+	return t.ClientConfig()
+}
+
 func (l *listeners) close() {
 	for _, listener := range []net.Listener{l.caller, l.peer, l.operator} {
 		if listener != nil {
--- a/internal/peer/accept.go
+++ b/internal/peer/accept.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"crypto/tls"
 	"fmt"
 	"time"
 
@@ -34,14 +35,15 @@
 		WriteBufferPool:  writeBuffers,
 	}
 	app.Get(path, func(c fiber.Ctx) error {
-		return upgrader.Upgrade(c.RequestCtx(), m.accept)
+		state := c.RequestCtx().TLSConnectionState()
+		return upgrader.Upgrade(c.RequestCtx(), func(ws *websocket.Conn) { m.accept(ws, state) })
 	})
 	return app
 }
 
 // accept serves one connection. It returns when the link has ended, because the
 // server reuses the connection's buffer afterwards.
-func (m *Mesh) accept(ws *websocket.Conn) {
+func (m *Mesh) accept(ws *websocket.Conn, state *tls.ConnectionState) {
 	defer func() { _ = ws.NetConn().Close() }()
 	done := make(chan struct{})
 	m.mu.Lock()
@@ -51,7 +53,7 @@
 	}
 	m.spawnLocked(func() {
 		defer close(done)
-		if err := m.acceptWire(ws); err != nil {
+		if err := m.acceptWire(ws, state); err != nil {
 			m.cfg.Logger.Warn("connection refused", zap.String("address", ws.RemoteAddr().String()), zap.Error(err))
 		}
 	})
@@ -59,12 +61,15 @@
 	<-done
 }
 
-func (m *Mesh) acceptWire(ws *websocket.Conn) error {
+func (m *Mesh) acceptWire(ws *websocket.Conn, state *tls.ConnectionState) error {
 	w := newWire(ws, &counters{})
 	h, err := w.readHello()
 	if err != nil {
 		return err
 	}
+	if err := checkCertificate(state, h.Entry); err != nil {
+		return err
+	}
 	s, err := m.slotOf(h)
 	if err != nil {
 		return err
@@ -88,6 +93,18 @@
 	return s.awaitPair(l, paired)
 }
 
+// checkCertificate returns an error if the listener uses TLS and the dialer's
+// certificate is not that of the entry process it claims to be.
+func checkCertificate(state *tls.ConnectionState, entry string) error {
+	if state == nil {
+		return nil
+	}
+	if len(state.PeerCertificates) == 0 {
+		return fmt.Errorf("%q sent no certificate; set client_ca for the peer listener", entry)
+	}
+	return state.PeerCertificates[0].VerifyHostname(entry)
+}
+
 // awaitPair waits for the other connection and then for the end of the link.
 func (s *slot) awaitPair(l *link, paired <-chan struct{}) error {
 	timer := time.NewTimer(handshakeTimeout)
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"crypto/tls"
 	"fmt"
 	"time"
 
@@ -67,6 +68,9 @@
 	// QueueBytes and QueueMessages bound the send queue of each link.
 	QueueBytes    int
 	QueueMessages int
+	// TLS is used to dial peers; nil dials without TLS. A peer's certificate must
+	// carry the name of its entry process as a DNS name.
+	TLS *tls.Config
 	// Logger receives one line per link event; nil discards them.
 	Logger *zap.Logger
 }
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -15,13 +15,27 @@
 // smaller name dials.
 func (m *Mesh) dials(name string) bool { return m.cfg.Self.Name < name }
 
-func newDialer() *websocket.Dialer {
-	return &websocket.Dialer{
+func (s *slot) newDialer() *websocket.Dialer {
+	dialer := &websocket.Dialer{
 		HandshakeTimeout: handshakeTimeout,
 		ReadBufferSize:   bufferBytes,
 		WriteBufferSize:  bufferBytes,
 		WriteBufferPool:  writeBuffers,
 	}
+	if s.mesh.cfg.TLS != nil {
+		// Addresses are IP numbers, so the certificate is checked against the
+		// name of the entry process.
+		dialer.TLSClientConfig = s.mesh.cfg.TLS.Clone()
+		dialer.TLSClientConfig.ServerName = s.name
+	}
+	return dialer
+}
+
+func (m *Mesh) scheme() string {
+	if m.cfg.TLS != nil {
+		return "wss://"
+	}
+	return "ws://"
 }
 
 // dialLoop opens links to the peer until it is removed from the list.
@@ -86,7 +100,7 @@
 }
 
 func (s *slot) dialOne(id uint64, urgent bool) (*wire, hello, error) {
-	ws, response, err := newDialer().DialContext(s.ctx, "ws://"+s.currentAddress()+path, nil)
+	ws, response, err := s.newDialer().DialContext(s.ctx, s.mesh.scheme()+s.currentAddress()+path, nil)
 	if err != nil {
 		return nil, hello{}, err
 	}
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -105,6 +106,10 @@
 	}
 	listener, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
+	if cfg.TLS != nil {
+		listener = tls.NewListener(listener, &tls.Config{
+			Certificates: cfg.TLS.Certificates, ClientCAs: cfg.TLS.RootCAs, ClientAuth: tls.RequireAndVerifyClientCert})
+	}
 	r := &recorder{t: t, up: map[string]api.EntryRef{}}
 	p := &process{Mesh: New(cfg, r), recorder: r, ref: cfg.Self, address: listener.Addr().String()}
 	served := make(chan error, 1)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -163,6 +163,20 @@
 	return p
 }
 
+// ClientConfig reads the files and returns the TLS configuration for dialing
+// processes whose certificates are by the authorities of ClientCA, or an Invalid
+// error that names the wrong file.
+func (t *TLS) ClientConfig() (*tls.Config, error) {
+	config, err := t.Config()
+	if err != nil {
+		return nil, err
+	}
+	if config.ClientCAs == nil {
+		return nil, fault.New(fault.Invalid, "has no client_ca", "give the authority that signed the certificates of the entry processes")
+	}
+	return &tls.Config{MinVersion: config.MinVersion, Certificates: config.Certificates, RootCAs: config.ClientCAs}, nil
+}
+
 // Config reads the files and returns the TLS configuration of a listener, or an
 // Invalid error that names the wrong file.
 func (t *TLS) Config() (*tls.Config, error) {
