Add the open-loop load generator

Cause: the goodput, waiting time and flood targets need a load that does not slow down with the system, and results that can be compared. Ruled out: a closed loop of callers, which hides delay (coordinated omission); one random stream for all arrivals, because a flood would then change the base load it is compared with; a single caller.Client per entry process, which refuses beyond 512 connections by itself. Before: no load tool.

--- /dev/null
+++ b/internal/load/experiment.go
@@ -0,0 +1,242 @@
+package load
+
+import (
+	"io"
+	"os"
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/fulmarlatch/fulmarlatch/internal/strictjson"
+)
+
+// Experiment is the description of a load. Times are in milliseconds.
+type Experiment struct {
+	Name string `json:"name"`
+	// Seed decides all arrivals together with the rest of the experiment.
+	Seed uint64 `json:"seed"`
+	// Entries are the caller addresses of entry processes, as http://host:port.
+	Entries []string `json:"entries"`
+	// EntryChoice is in_turn or random.
+	EntryChoice string `json:"entry_choice"`
+	// MaxOutstanding bounds the requests without an answer. A request beyond the
+	// bound is counted as not sent.
+	MaxOutstanding int `json:"max_outstanding"`
+	// TimeoutMS bounds the wait for the answer of one request and, after it was
+	// accepted, for the end of the job.
+	TimeoutMS int64 `json:"timeout_ms"`
+	// CheckAnswers checks that every completed request returns the whole answer
+	// of its own task; the workers must be stand-ins.
+	CheckAnswers bool            `json:"check_answers"`
+	Teams        []Team          `json:"teams"`
+	Works        map[string]Work `json:"works"`
+	Phases       []Phase         `json:"phases"` // one after the other
+	Floods       []Flood         `json:"floods"`
+}
+
+// Team is a group of callers that sends a share of the load.
+type Team struct {
+	Name   string  `json:"name"`
+	Token  string  `json:"token,omitempty"`
+	Weight float64 `json:"weight"`
+}
+
+// Work is one kind of job.
+type Work struct {
+	Class      string   `json:"class"`
+	Kind       api.Kind `json:"kind"`
+	Idempotent bool     `json:"idempotent"`
+	// Mint asks an entry process for an id before the job is submitted. The
+	// response time includes it.
+	Mint bool `json:"mint"`
+	// Teams restricts the work to some teams; empty means all.
+	Teams []string `json:"teams,omitempty"`
+	Tasks int      `json:"tasks"`
+	// Resources are what a task really uses.
+	Resources  api.Resources `json:"resources"`
+	DeadlineMS int64         `json:"deadline_ms"`
+	// WorkMS is the run time of a task; a service is cancelled after it.
+	WorkMS      Distribution `json:"work_ms"`
+	AnswerBytes Distribution `json:"answer_bytes"`
+	// DeclaredFactor is how far the declared memory and run time are off: each is
+	// the real one times a factor of its own, uniform on a logarithmic scale.
+	DeclaredFactor Range `json:"declared_factor"`
+	// InTimeMS is the longest response time that counts as goodput; 0 counts
+	// every response.
+	InTimeMS int64 `json:"in_time_ms"`
+	// Follow waits for the end of an accepted batch or gang. Otherwise its
+	// acceptance is the response.
+	Follow bool `json:"follow"`
+}
+
+// Range is a closed interval.
+type Range struct {
+	Min float64 `json:"min"`
+	Max float64 `json:"max"`
+}
+
+// Phase is a time with an even load.
+type Phase struct {
+	Name       string  `json:"name"`
+	DurationMS int64   `json:"duration_ms"`
+	Rate       float64 `json:"rate"`     // arrivals per second
+	Arrivals   string  `json:"arrivals"` // poisson or constant
+	Mix        []Share `json:"mix"`
+}
+
+// Share is the part that one work has in a mix.
+type Share struct {
+	Work   string  `json:"work"`
+	Weight float64 `json:"weight"`
+}
+
+// Flood is an extra stream of one work. It leaves the arrivals of the phases as
+// they are, so that runs with and without it can be compared.
+type Flood struct {
+	Name       string  `json:"name"`
+	Work       string  `json:"work"`
+	StartMS    int64   `json:"start_ms"` // from the start of the experiment
+	DurationMS int64   `json:"duration_ms"`
+	Rate       float64 `json:"rate"`     // arrivals per second
+	Arrivals   string  `json:"arrivals"` // poisson or constant
+}
+
+// Values of EntryChoice and Arrivals.
+const (
+	ChoiceInTurn     = "in_turn"
+	ChoiceRandom     = "random"
+	ArrivalsPoisson  = "poisson"
+	ArrivalsConstant = "constant"
+)
+
+// Defaults of fields that are left out.
+const (
+	DefaultMaxOutstanding = 1000
+	DefaultTimeoutMS      = 120_000
+)
+
+const maxFileBytes = 16 << 20
+
+// Load reads an experiment from the file at path.
+func Load(path string) (Experiment, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return Experiment{}, err
+	}
+	return Parse(data)
+}
+
+// Parse reads and completes an experiment. The error holds one *fault.Error of
+// kind Invalid for each problem.
+func Parse(data []byte) (Experiment, error) {
+	e, problems := strictjson.Decode(data, func(e *Experiment) strictjson.Problems {
+		e.complete()
+		return e.problems()
+	})
+	return e, problems.Err()
+}
+
+// Check returns one *fault.Error of kind Invalid for each problem, or nil. It is
+// for experiments that were changed after Parse.
+func (e *Experiment) Check() error { return e.problems().Err() }
+
+func readFile(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, fault.Wrap(fault.Invalid, err, "the file cannot be read", "give the path of a readable file")
+	}
+	defer func() { _ = file.Close() }()
+	data, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
+	if err != nil || len(data) > maxFileBytes {
+		return nil, fault.Wrap(fault.Invalid, err, path+" cannot be read or is too long", "give a readable file of at most 16 MiB")
+	}
+	return data, nil
+}
+
+func (e *Experiment) complete() {
+	setDefault(&e.EntryChoice, ChoiceInTurn)
+	setDefault(&e.MaxOutstanding, DefaultMaxOutstanding)
+	setDefault(&e.TimeoutMS, DefaultTimeoutMS)
+	// Nil lists would be written as null, which LoadResult refuses.
+	e.Phases = append([]Phase{}, e.Phases...)
+	e.Floods = append([]Flood{}, e.Floods...)
+	for i := range e.Teams {
+		setDefault(&e.Teams[i].Weight, 1)
+	}
+	for name, w := range e.Works {
+		w.complete()
+		e.Works[name] = w
+	}
+	for i := range e.Phases {
+		p := &e.Phases[i]
+		setDefault(&p.Arrivals, ArrivalsPoisson)
+		for k := range p.Mix {
+			setDefault(&p.Mix[k].Weight, 1)
+		}
+	}
+	for i := range e.Floods {
+		setDefault(&e.Floods[i].Arrivals, ArrivalsPoisson)
+	}
+}
+
+func (w *Work) complete() {
+	setDefault(&w.Kind, api.KindRequest)
+	setDefault(&w.Tasks, 1)
+	setDefault(&w.Resources.Slots, 1)
+	setDefault(&w.DeclaredFactor, Range{1, 1})
+	setDefault(&w.WorkMS.Kind, Constant)
+	setDefault(&w.AnswerBytes.Kind, Constant)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Scale multiplies all rates by factor.
+func (e *Experiment) Scale(factor float64) {
+	for i := range e.Phases {
+		e.Phases[i].Rate *= factor
+	}
+	for i := range e.Floods {
+		e.Floods[i].Rate *= factor
+	}
+}
+
+// SetToken sets the token of a team. The error is an Invalid fault if the
+// experiment has no such team.
+func (e *Experiment) SetToken(team, token string) error {
+	for i := range e.Teams {
+		if e.Teams[i].Name == team {
+			e.Teams[i].Token = token
+			return nil
+		}
+	}
+	return fault.New(fault.Invalid, "the experiment has no team "+team, "name a team of the experiment")
+}
+
+// Duration returns the time from the start to the end of the last phase or flood.
+func (e *Experiment) Duration() time.Duration {
+	phases, last := int64(0), int64(0)
+	for _, p := range e.Phases {
+		phases += p.DurationMS
+	}
+	for _, f := range e.Floods {
+		last = max(last, f.StartMS+f.DurationMS)
+	}
+	return milliseconds(max(phases, last))
+}
+
+// withoutTokens returns a copy that may be published.
+func (e Experiment) withoutTokens() Experiment {
+	teams := make([]Team, len(e.Teams))
+	for i, t := range e.Teams {
+		teams[i] = Team{Name: t.Name, Weight: t.Weight}
+	}
+	e.Teams = teams
+	return e
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/load/pool.go
@@ -0,0 +1,119 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/caller"
+	"github.com/valyala/fasthttp"
+)
+
+// Caller sends the requests of one team to one entry process. *caller.Client
+// implements it.
+type Caller interface {
+	Mint(ctx context.Context) (string, error)
+	Submit(ctx context.Context, job api.Job) api.Answer
+	Wait(ctx context.Context, id string, wait time.Duration) api.Answer
+	Cancel(ctx context.Context, id string) api.Answer
+	Close()
+}
+
+// Dial returns a Caller for an entry process and a team.
+type Dial func(entry string, team Team) (Caller, error)
+
+// DialHTTP returns a Caller that uses the callers' HTTP API. The error is an
+// Invalid fault if the entry is no URL.
+func DialHTTP(entry string, team Team) (Caller, error) {
+	client, err := caller.NewClient(entry, team.Token, team.Name)
+	if err != nil {
+		return nil, err
+	}
+	return client, nil
+}
+
+// callersPerClient is the largest number of connections that one caller.Client
+// opens. Beyond it the client refuses requests by itself, which would count as
+// refusals of the entry process.
+const callersPerClient = fasthttp.DefaultMaxConnsPerHost
+
+// pool holds the Callers of one team at one entry process and hands each to at
+// most callersPerClient requests at once.
+type pool struct {
+	entry string
+	team  Team
+	dial  Dial
+
+	mu    sync.Mutex // guards slots
+	slots []*slot
+}
+
+type slot struct {
+	caller Caller
+	busy   int
+}
+
+func (p *pool) take() (*slot, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.slots {
+		if s.busy < callersPerClient {
+			s.busy++
+			return s, nil
+		}
+	}
+	c, err := p.dial(p.entry, p.team)
+	if err != nil {
+		return nil, err
+	}
+	s := &slot{caller: c, busy: 1}
+	p.slots = append(p.slots, s)
+	return s, nil
+}
+
+func (p *pool) give(s *slot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.busy--
+}
+
+func (p *pool) close() {
+	for _, s := range p.slots {
+		s.caller.Close()
+	}
+}
+
+// pools holds one pool for each entry process and team.
+type pools struct {
+	entries int
+	teams   int
+	list    []*pool
+}
+
+func newPools(e *Experiment, dial Dial) *pools {
+	p := &pools{entries: len(e.Entries), teams: len(e.Teams)}
+	for _, entry := range e.Entries {
+		for _, team := range e.Teams {
+			p.list = append(p.list, &pool{entry: entry, team: team, dial: dial})
+		}
+	}
+	return p
+}
+
+// with runs f with a Caller of a team at an entry process.
+func (p *pools) with(entry, team int, f func(c Caller) api.Answer) api.Answer {
+	pool := p.list[entry%p.entries*p.teams+team]
+	s, err := pool.take()
+	if err != nil {
+		return api.Refuse("", err)
+	}
+	defer pool.give(s)
+	return f(s.caller)
+}
+
+func (p *pools) close() {
+	for _, pool := range p.list {
+		pool.close()
+	}
+}
