Add make demo and bound floods apart from other load

Cause: there was no run of a whole cell for a reader to watch, and a trial of the load tool with a flood counted urgent requests as not sent, because the flood had used up the shared bound on outstanding requests.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,7 @@
 	$(GO) test -race -timeout 8m $(PACKAGES)
 
 test: test-setup format vet lint unit
+
+# A cell on loopback, with every outcome checked; needs bash and curl.
+demo: build
+	./scripts/demo.sh
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -19,8 +19,9 @@
 	Entries []string `json:"entries"`
 	// EntryChoice is in_turn or random.
 	EntryChoice string `json:"entry_choice"`
-	// MaxOutstanding bounds the requests without an answer. A request beyond the
-	// bound is counted as not sent.
+	// MaxOutstanding bounds the requests without an answer: those of the phases
+	// together, and those of each flood by itself. A request beyond the bound is
+	// counted as not sent.
 	MaxOutstanding int `json:"max_outstanding"`
 	// TimeoutMS bounds the wait for the answer of one request and, after it was
 	// accepted, for the end of the job.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -148,6 +148,20 @@
 	assert.Equal(t, r.Failed(true), "")
 }
 
+// TestRunBoundsFloodsApart guards against a flood that keeps the requests beside
+// it from being sent, which would look like goodput lost by the system.
+func TestRunBoundsFloodsApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := parse(t, strings.Replace(good, `"rate":100`, `"rate":20`, 1)+
+			`,"floods":[{"name":"flood","work":"hold","duration_ms":1000,"rate":500}]}`)
+		e.Phases = e.Phases[:1]
+		r := Run(context.Background(), e, NewSchedule(e), upstreams{}.dial)
+		for _, row := range r.Rows {
+			assert.Equal(t, row.NotSent > 0, row.Stream != "even", "%v", row)
+		}
+	})
+}
+
 // TestRunMeasuresFromIntendedTime guards against coordinated omission: when the
 // generator stalls for 400 ms, late requests are charged with their lateness.
 func TestRunMeasuresFromIntendedTime(t *testing.T) {
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -26,7 +26,8 @@
 	Interrupted bool       `json:"interrupted"`
 	Offered     uint64     `json:"offered"`
 	NotSent     uint64     `json:"not_sent"` // beyond max_outstanding
-	// HighestOutstanding is the largest number of requests without an answer.
+	// HighestOutstanding is the largest number of requests without an answer
+	// under one bound.
 	HighestOutstanding int `json:"highest_outstanding"`
 	// SendLagMS is how late requests left the generator. If it is not far below
 	// the other latencies, the generator itself was too slow.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -18,7 +18,7 @@
 	r := &runner{
 		experiment: e,
 		pools:      newPools(e, dial),
-		slots:      make(chan struct{}, e.MaxOutstanding),
+		slots:      newSlots(e),
 		collector:  newCollector(e),
 		began:      time.Now(),
 	}
@@ -35,7 +35,7 @@
 type runner struct {
 	experiment *Experiment
 	pools      *pools
-	slots      chan struct{} // one element for each outstanding request
+	slots      map[string]chan struct{} // by stream; one element for each outstanding request
 	requests   conc.WaitGroup
 	collector  *collector
 	began      time.Time
@@ -56,18 +56,33 @@
 	}
 }
 
+// newSlots gives the phases one bound together and each flood one of its own, so
+// that a flood cannot keep the requests beside it from being sent.
+func newSlots(e *Experiment) map[string]chan struct{} {
+	slots := map[string]chan struct{}{}
+	phases := make(chan struct{}, e.MaxOutstanding)
+	for _, p := range e.Phases {
+		slots[p.Name] = phases
+	}
+	for _, f := range e.Floods {
+		slots[f.Name] = make(chan struct{}, e.MaxOutstanding)
+	}
+	return slots
+}
+
 // start sends a request on a goroutine of its own, or counts it as not sent if
 // too many are outstanding.
 func (r *runner) start(a Arrival) {
+	slots := r.slots[a.Stream]
 	select {
-	case r.slots <- struct{}{}:
-		r.collector.sending(len(r.slots))
+	case slots <- struct{}{}:
+		r.collector.sending(len(slots))
 	default:
 		r.collector.notSent(a)
 		return
 	}
 	r.requests.Go(func() {
-		defer func() { <-r.slots }()
+		defer func() { <-slots }()
 		x := exchange{runner: r, arrival: a, work: r.experiment.Works[a.Work], intended: r.began.Add(a.At)}
 		r.collector.add(x.run())
 	})
