Answer no query under a lease that has been superseded

Cause: a holder that resumed after a pause, and had not yet heard of the loss of its lease, answered void (or lost) for an attempt that had been started under a later lease, so the coordinator started the task a second time. The epoch in QueryAttempt was not read. Ruled out: the check of phase leaseHeld, which lags behind the real lease. Now the query carries the latest epoch announced for the worker, a holder under an earlier epoch or boot answers not_held, and an answer running of an earlier epoch is ignored. Before: TestQueryUnderLaterLease got void for epoch 6 at a holder of epoch 5. After: not_held; the tests of core pass.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -34,6 +34,7 @@
 	phase     attemptPhase
 	holder    api.EntryRef
 	place     message.Place
+	granted   uint64 // latest epoch of the worker that a holder announced
 	since     time.Time
 	started   time.Time
 	tried     map[string]bool
@@ -327,6 +328,7 @@
 			c.strand(a)
 		}
 		if a.phase == attemptStranded {
+			a.granted = max(a.granted, m.Epoch)
 			c.query(from, a)
 		}
 	}
@@ -334,7 +336,7 @@
 
 func (c *Core) query(to api.EntryRef, a *attempt) {
 	c.send(to, message.QueryAttempt{
-		Attempt: a.id, Worker: a.place.Worker, Epoch: a.place.Epoch, Boot: a.place.Boot,
+		Attempt: a.id, Worker: a.place.Worker, Epoch: max(a.place.Epoch, a.granted), Boot: a.place.Boot,
 	})
 }
 
@@ -366,6 +368,9 @@
 	}
 	switch m.Status {
 	case message.AttemptRunning:
+		if m.Place.Boot == a.place.Boot && m.Place.Epoch < a.granted {
+			return // the holder has lost its lease since
+		}
 		delete(c.tries.stranded, a.id)
 		a.holder = from
 		a.place = m.Place
--- /dev/null
+++ b/internal/core/holder_test.go
@@ -0,0 +1,76 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/message"
+)
+
+// lone is one core that is driven event by event.
+type lone struct {
+	core *Core
+	now  time.Time
+}
+
+var peerRef = api.EntryRef{Name: "e1", Incarnation: 1}
+
+// newLone returns a core that holds worker w00 under epoch 5 and boot 2, with a
+// link to e1.
+func newLone(listed ...api.TaskReport) *lone {
+	l := &lone{
+		core: New(Config{Self: api.EntryRef{Name: "e0", Incarnation: 1}, Seed: 7}),
+		now:  time.Unix(1000, 0),
+	}
+	capacity := api.Resources{CPUMilli: 4000, MemoryMB: 8000, Slots: 4, Connections: 60}
+	l.step(BundleChanged{Roll: 1, Bundle: testBundle()})
+	l.step(VMsChanged{Full: true, VMs: []api.VM{{Name: "w00", Role: api.RoleWorker, Address: "w00", Capacity: capacity}}})
+	l.step(Tick{})
+	l.step(LeaseGranted{Grant: api.Grant{Worker: "w00", Epoch: 5, Boot: 2, Capacity: capacity, Tasks: listed}})
+	l.step(LogState{Up: true})
+	l.step(LogCaughtUp{})
+	l.step(PeerUp{Ref: peerRef})
+	return l
+}
+
+func (l *lone) step(ev Event) []Action { return l.core.Step(l.now, ev) }
+
+// hear passes a message from e1 and returns the first answer to it.
+func (l *lone) hear(m message.Message) message.Message {
+	for _, action := range l.step(PeerMessage{From: peerRef, Message: m}) {
+		if s, ok := action.(Send); ok && s.To == peerRef {
+			return s.Message
+		}
+	}
+	return nil
+}
+
+func attemptID(job string, number int) api.AttemptID {
+	return api.AttemptID{Job: job, Number: number}
+}
+
+func (l *lone) query(id api.AttemptID, epoch, boot, claim uint64) message.Message {
+	return l.hear(message.QueryAttempt{Attempt: id, Worker: "w00", Epoch: epoch, Boot: boot, Claim: claim})
+}
+
+// TestQueryUnderLaterLease guards against a holder that resumes after a pause, has
+// not noticed the loss of its lease, and says that an attempt of a later lease or
+// boot did not start.
+func TestQueryUnderLaterLease(t *testing.T) {
+	for _, c := range []struct {
+		epoch, boot uint64
+		want        message.AttemptStatus
+	}{
+		{epoch: 5, boot: 2, want: message.AttemptVoid},
+		{epoch: 4, boot: 2, want: message.AttemptVoid},
+		{epoch: 6, boot: 2, want: message.AttemptNotHeld},
+		{epoch: 4, boot: 1, want: message.AttemptLost},
+		{epoch: 6, boot: 3, want: message.AttemptNotHeld},
+	} {
+		got := newLone().query(attemptID("e1-1-1", 1), c.epoch, c.boot, 0).(message.AttemptState)
+		assert.Equal(t, got.Status, c.want, "epoch %d boot %d", c.epoch, c.boot)
+	}
+}
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -45,6 +45,12 @@
 	preferred api.EntryRef
 }
 
+// isBefore reports whether the worker was granted under a later lease than the one
+// held here, so that this process has lost its lease without knowing it yet.
+func (w *workerState) isBefore(boot, epoch uint64) bool {
+	return w.boot < boot || w.boot == boot && w.epoch < epoch
+}
+
 const (
 	// minBackoff and maxBackoff bound the pause before an unreachable worker is
 	// asked again for its lease.
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -44,7 +44,7 @@
 func (c *Core) queryHeld(from api.EntryRef, m message.QueryAttempt) {
 	answer := message.AttemptState{Attempt: m.Attempt, Status: message.AttemptNotHeld}
 	w := c.workers.byName[m.Worker]
-	if w == nil || w.phase != leaseHeld {
+	if w == nil || w.phase != leaseHeld || w.isBefore(m.Boot, m.Epoch) {
 		c.send(from, answer)
 		return
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -112,8 +112,13 @@
 type QueryAttempt struct {
 	Attempt api.AttemptID `cbor:"1,keyasint"`
 	Worker  string        `cbor:"2,keyasint"`
-	Epoch   uint64        `cbor:"3,keyasint"` // of the logged start
-	Boot    uint64        `cbor:"4,keyasint"`
+	// Epoch is the latest lease of the worker that the sender knows of, at least
+	// that of the logged start. A receiver under an earlier lease cannot answer.
+	Epoch uint64 `cbor:"3,keyasint"`
+	Boot  uint64 `cbor:"4,keyasint"`
+	// Claim is the offset of the record that made the sender the coordinator, 0
+	// for an unlogged job. The holder keeps to the latest coordinator.
+	Claim uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // AttemptStatus is a holder's word on a queried attempt.
