Keep reports on an attempt with its latest coordinator

Cause: any QueryAttempt made its sender the coordinator at the holder. A replaced coordinator that had resumed and not yet read the adoption asked for its stranded attempts, the end went to it alone, and its successor, for which the attempt runs, never asked again: the job did not end. Ruled out: acknowledgement by the replaced one (it keeps quiet until the task is over in the log). The query now names the sender's claim (additive field of QueryAttempt), and the holder keeps to the coordinator with the latest claim. Before: TestLatestCoordinatorHearsOfEnd, the end went to e2. After: to e1.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -337,6 +337,7 @@
 func (c *Core) query(to api.EntryRef, a *attempt) {
 	c.send(to, message.QueryAttempt{
 		Attempt: a.id, Worker: a.place.Worker, Epoch: max(a.place.Epoch, a.granted), Boot: a.place.Boot,
+		Claim: a.job.claim,
 	})
 }
 
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -38,7 +38,8 @@
 	spec    api.TaskSpec // payload unset
 	place   message.Place
 	phase   heldPhase
-	stopped bool // a stop was sent
+	claim   uint64 // of the coordinator that asked last, 0 if none did
+	stopped bool   // a stop was sent
 	report  api.TaskReport
 	endedAt time.Time
 }
--- a/internal/core/holder_test.go
+++ b/internal/core/holder_test.go
@@ -74,3 +74,32 @@
 		assert.Equal(t, got.Status, c.want, "epoch %d boot %d", c.epoch, c.boot)
 	}
 }
+
+// runningAt is the report of a logged attempt that runs.
+func runningAt(id api.AttemptID, coordinator api.EntryRef) api.TaskReport {
+	return api.TaskReport{State: api.TaskRunning, Spec: api.TaskSpec{
+		Attempt: id, Coordinator: coordinator, Team: "a", Class: "bulk", Kind: api.KindBatch,
+		Resources: api.Resources{CPUMilli: 1000, MemoryMB: 1000, Slots: 1},
+	}}
+}
+
+// TestLatestCoordinatorHearsOfEnd guards against a replaced coordinator that has
+// not read of its replacement yet and, by asking for an attempt, takes the report
+// on its end away from its successor.
+func TestLatestCoordinatorHearsOfEnd(t *testing.T) {
+	id := attemptID("e2-1-1", 1)
+	replaced := api.EntryRef{Name: "e2", Incarnation: 1}
+	l := newLone(runningAt(id, replaced))
+	l.step(PeerUp{Ref: replaced})
+	l.query(id, 4, 2, 9)
+	l.step(PeerMessage{From: replaced, Message: message.QueryAttempt{Attempt: id, Worker: "w00", Epoch: 4, Boot: 2, Claim: 3}})
+	report := runningAt(id, replaced)
+	report.State, report.Outcome = api.TaskEnded, api.OutcomeCompleted
+	var told []api.EntryRef
+	for _, action := range l.step(TaskEnded{Worker: "w00", Epoch: 5, Report: report}) {
+		if s, ok := action.(Send); ok {
+			told = append(told, s.To)
+		}
+	}
+	assert.DeepEqual(t, told, []api.EntryRef{peerRef})
+}
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -51,8 +51,11 @@
 	t := c.held.tasks[m.Attempt]
 	switch {
 	case t != nil:
-		t.spec.Coordinator = from
-		t.report.Spec.Coordinator = from
+		if m.Claim >= t.claim {
+			t.claim = m.Claim
+			t.spec.Coordinator = from
+			t.report.Spec.Coordinator = from
+		}
 		if t.phase == heldEnded {
 			c.send(from, message.Ended{Report: t.report})
 			return
