Stop a process that missed a part of the log

Cause: a coordinator that was paused for longer than the log keeps records missed the adoption and the end of its jobs, went on as their coordinator and ran their tasks again (the gap was only logged). Likewise a resumed process appended a stale copy of a finished job before its tail went on; processes that had forgotten the job took the copy for a new job and ran it again. A copy of a job whose accept record stands at offset 0 was taken for a first copy and set done tasks back. Ruled out: rebuilding in place (the own copies may be missing from the log, and the others keep a live process as the owner); waiting for the owner's copies. Now a gap makes the core give up its logged jobs and stop, Run returns a LogDown fault, later copies of unknown jobs are ignored after the catch-up, no copies are appended in the first 30 s after a pause, and first copies are known by their missing progress.

--- a/internal/core/adopt.go
+++ b/internal/core/adopt.go
@@ -115,6 +115,47 @@
 	c.strand(a)
 }
 
+const (
+	// pauseNoticed is the time between two events that shows a pause.
+	pauseNoticed = 2 * time.Second
+	// resumeGrace is the time after a pause in which the tail may not have read
+	// yet that jobs of this process were adopted or are over.
+	resumeGrace = 30 * time.Second
+)
+
+// loseLog handles a gap in the log: jobs of this process may have been adopted or
+// may be over since. It gives up all logged jobs, reads no more records and stops,
+// so that the other processes adopt what is left and a new incarnation starts from
+// the log as it is.
+func (c *Core) loseLog() {
+	c.lostLog = true
+	c.caughtUp = false
+	c.logEvent("log_gap", Field{"remedy", "none needed, the process stops and has to be started again"})
+	for _, id := range sortedKeys(c.jobs.byID) {
+		j := c.jobs.byID[id]
+		if j.phase != phaseDone && (j.spec.Kind.Logged() || j.phase == phaseLogging) {
+			c.forgetJob(j)
+		}
+	}
+	c.stop()
+}
+
+// forgetJob drops a job of which this process cannot tell what became of it.
+func (c *Core) forgetJob(j *job) {
+	if j.owner == c.cfg.Self {
+		c.giveUp(j)
+	}
+	delete(c.jobs.byID, j.spec.ID)
+	c.jobs.dropOwner(j)
+	j.phase = phaseDone
+	answer := errorAnswer(j.spec.ID, errForgotten(j.spec.ID))
+	j.final = &answer
+	for _, w := range j.waiters {
+		c.reply(w, answer)
+	}
+	j.waiters = nil
+}
+
 // giveUp stops coordinating a job that another process adopted. What runs goes on
 // under the new coordinator.
 func (c *Core) giveUp(j *job) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -48,6 +48,7 @@
 	stopped  bool
 	logUp    bool
 	caughtUp bool
+	lostLog  bool // the log dropped records that this process has not read
 
 	queue *queue.Queue
 	pool  *placement.Pool
@@ -60,6 +61,7 @@
 	requests requestTable
 
 	lastSecond time.Time
+	resumedAt  time.Time // end of the last pause of the process
 	out        []Action
 	local      []message.Message // messages of this process to itself
 	counters   Counters
@@ -93,6 +95,9 @@
 // Step takes one event at the given time and returns the actions that follow.
 // The time must not go back between calls.
 func (c *Core) Step(now time.Time, ev Event) []Action {
+	if now.Sub(c.now) >= pauseNoticed {
+		c.resumedAt = now
+	}
 	c.now = now
 	c.handle(ev)
 	c.deliverLocal()
@@ -140,7 +145,9 @@
 	case RecordRead:
 		c.readRecord(e.Offset, e.Record)
 	case LogCaughtUp:
-		c.caughtUp = true
+		c.caughtUp = !c.lostLog
+	case LogGap:
+		c.loseLog()
 	case LogState:
 		c.logUp = e.Up
 	case LogRetention:
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -120,6 +120,10 @@
 // LogCaughtUp reports that the tail of the work stream has reached its end once.
 type LogCaughtUp struct{}
 
+// LogGap reports that the log dropped records before this process read them. The
+// core stops as after StopRequested, because it no longer knows its logged jobs.
+type LogGap struct{}
+
 // LogState reports whether the platform's log answers.
 type LogState struct{ Up bool }
 
@@ -147,6 +151,7 @@
 func (CallerGone) isEvent()       {}
 func (RecordRead) isEvent()       {}
 func (LogCaughtUp) isEvent()      {}
+func (LogGap) isEvent()           {}
 func (LogState) isEvent()         {}
 func (LogRetention) isEvent()     {}
 func (StopRequested) isEvent()    {}
--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -49,7 +49,9 @@
 	paused   bool
 	silence  time.Time // since when it has not run
 	seenDown map[string]bool
-	read     int // records of the log
+	read     int       // records of the log
+	opened   bool      // the log has been read
+	lagsTo   time.Time // the log is not read before
 	logUp    bool
 	held     map[string]uint64
 	stopped  bool
@@ -63,6 +65,10 @@
 	procs    map[string]*fakeProcess
 	workers  map[string]*fakeWorker
 	log      []record.Record
+	logged   []int // uptime of the log at each append, in steps
+	oldest   int   // records before are dropped
+	uptime   int   // of the log, in steps
+	keepFor  int   // uptime for which records are kept; 0 for ever
 	logUp    bool
 	loseAcks bool // appends take effect but are repeated
 	bundle   bundle.Bundle
@@ -120,7 +126,7 @@
 		domain = "d1"
 	}
 	p := &fakeProcess{
-		core: New(Config{Self: ref, Domain: domain, Seed: 7}),
+		core: New(Config{Self: ref, Domain: domain, Seed: 7, RefreshInterval: cell.refreshInterval()}),
 		ref:  ref, domain: domain, alive: true,
 		seenDown: make(map[string]bool), held: make(map[string]uint64),
 	}
@@ -167,6 +173,7 @@
 	cell.now = cell.now.Add(TickInterval)
 	cell.steps++
 	cell.runWorkers()
+	cell.expireLog()
 	for _, p := range cell.sorted() {
 		if p.running() {
 			cell.runProcess(p)
@@ -182,12 +189,9 @@
 		p.logUp = cell.logUp
 		p.inbox = append(p.inbox, LogState{Up: cell.logUp})
 	}
-	if cell.logUp {
+	if cell.logUp && !cell.now.Before(p.lagsTo) {
 		cell.flush(p)
-		for ; p.read < len(cell.log); p.read++ {
-			p.inbox = append(p.inbox, RecordRead{Offset: uint64(p.read), Record: cell.log[p.read]})
-		}
-		p.inbox = append(p.inbox, LogCaughtUp{})
+		cell.readLog(p)
 	}
 	repeat := p.repeat
 	p.repeat = nil
@@ -210,16 +214,6 @@
 	}
 }
 
-// flush appends what a process wants in the log. With loseAcks the append takes
-// effect and is repeated, as after a lost response.
-func (cell *fakeCell) flush(p *fakeProcess) {
-	cell.log = append(cell.log, p.pending...)
-	if cell.loseAcks {
-		cell.log = append(cell.log, p.pending...)
-	}
-	p.pending = nil
-}
-
 func (cell *fakeCell) deliver(from *fakeProcess, to api.EntryRef, m message.Message) {
 	other := cell.procs[to.Name]
 	if other == nil || other == from || !other.alive || other.ref != to || cell.isCut(from, other) || from.seenDown[to.Name] {
@@ -481,10 +475,15 @@
 	w.holder = api.EntryRef{}
 }
 
-func (cell *fakeCell) kill(name string)  { cell.procs[name].alive = false }
-func (cell *fakeCell) pause(name string) { cell.procs[name].paused = true }
-func (cell *fakeCell) resume(name string) {
-	cell.procs[name].paused = false
+func (cell *fakeCell) kill(name string)   { cell.procs[name].alive = false }
+func (cell *fakeCell) pause(name string)  { cell.procs[name].paused = true }
+func (cell *fakeCell) resume(name string) { cell.resumeLate(name, 0) }
+
+// resumeLate ends a pause; the tail of the log goes on after the lag.
+func (cell *fakeCell) resumeLate(name string, lag time.Duration) {
+	p := cell.procs[name]
+	p.paused = false
+	p.lagsTo = cell.now.Add(lag)
 }
 
 // ask gives a caller's request to a process.
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -201,7 +201,8 @@
 		j.dropBody()
 	}
 	for ref, k := range t.keys {
-		if k.won && c.now.Sub(k.readAt) >= c.cfg.KeyRetention {
+		isUsed := k.won || t.byID[k.jobID] == nil
+		if isUsed && c.now.Sub(k.readAt) >= c.cfg.KeyRetention {
 			delete(t.keys, ref)
 		}
 	}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -13,8 +13,8 @@
 // same records in the same order, so they agree on who coordinates a job and on
 // the state of its tasks.
 func (c *Core) readRecord(offset uint64, r record.Record) {
-	if r.Sequence <= c.jobs.read[r.Writer] {
-		return // a repeated append
+	if c.lostLog || r.Sequence <= c.jobs.read[r.Writer] {
+		return // after a gap, or a repeated append
 	}
 	c.jobs.read[r.Writer] = r.Sequence
 	switch {
@@ -93,8 +93,10 @@
 }
 
 func (c *Core) readAccept(offset uint64, writer api.EntryRef, m record.Accept) {
+	// Offset 0 is a valid claim; the first copy is the one without progress.
+	isFirst := len(m.Tasks) == 0
 	claimOffset := m.Claim
-	if claimOffset == 0 {
+	if isFirst {
 		claimOffset = offset
 	}
 	j := c.jobs.byID[m.Job.ID]
@@ -102,6 +104,9 @@
 		c.readProgress(j, writer, claimOffset, m)
 		return
 	}
+	if j == nil && !isFirst && c.caughtUp {
+		return // the job is over and forgotten; its replaced coordinator wrote this
+	}
 	if m.Job.Key != "" && !c.takeKey(writer, m.Job.Team, m.Job.Key, m.Job.ID) {
 		if j != nil && writer == c.cfg.Self {
 			c.loseKey(j)
@@ -255,7 +260,7 @@
 // refreshJobs appends the live jobs of this process again before the log drops
 // the earlier copies.
 func (c *Core) refreshJobs() {
-	if !c.logUp {
+	if !c.logUp || c.lostLog || c.now.Sub(c.resumedAt) < min(resumeGrace, c.cfg.RefreshInterval/2) {
 		return
 	}
 	mine := c.jobs.byOwner[c.cfg.Self]
--- a/internal/node/logs.go
+++ b/internal/node/logs.go
@@ -47,6 +47,11 @@
 // Gap reports records that the log dropped before this process read them.
 func (w workReader) Gap(from, oldest uint64) {
 	w.n.log.Warn("work_stream_gap", zap.Uint64("from", from), zap.Uint64("oldest", oldest))
+	w.n.post(coreEvent{core.LogGap{}})
+	select {
+	case w.n.logLost <- struct{}{}:
+	default: // signalled before
+	}
 }
 
 // CaughtUp reports that the end of the stream was reached once.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,7 @@
 	events  chan event
 	stopped chan struct{} // closed when the core reports Stopped
 	done    chan struct{} // closed when the control goroutine must end
+	logLost chan struct{} // has one signal when the log dropped unread records
 
 	tokens    atomic.Uint64
 	teams     atomic.Pointer[teamTokens]
@@ -91,6 +93,7 @@
 		events:   make(chan event, eventBacklog),
 		stopped:  make(chan struct{}),
 		done:     make(chan struct{}),
+		logLost:  make(chan struct{}, 1),
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -173,7 +176,9 @@
 
 // Run serves until ctx ends and then stops gracefully: no new work, leases handed
 // over, requests in progress finished, within the shutdown grace of the settings.
-// It returns an Unavailable fault if the grace was too short.
+// It returns an Unavailable fault if the grace was too short. It stops in the same
+// way with a LogDown fault when the log dropped records that were not read yet;
+// the process has to be started again then.
 func (n *Node) Run(ctx context.Context) error {
 	driverCtx, stopDrivers := context.WithCancel(context.Background())
 	defer stopDrivers()
@@ -181,8 +186,8 @@
 	control.Go(n.control)
 	n.startDrivers(driverCtx)
 	n.log.Info("started", zap.String("self", n.self.String()))
-	<-ctx.Done()
-	err := n.finish()
+	lost := n.awaitStop(ctx)
+	err := errors.Join(lost, n.finish())
 	stopDrivers()
 	n.stopServers()
 	n.drivers.Wait()
@@ -192,6 +197,17 @@
 	return err
 }
 
+// awaitStop returns when the process has to stop, with the fault that is the cause
+// or nil for a planned stop.
+func (n *Node) awaitStop(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-n.logLost:
+		return fault.New(fault.LogDown, "the log dropped records that this process had not read", "start the process again")
+	}
+}
+
 func (n *Node) startDrivers(ctx context.Context) {
 	n.workers.start(ctx)
 	n.drivers.Go(func() { n.logEnd("caller_listener", n.callers.Serve(n.listeners.caller)) })
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -42,7 +42,8 @@
 	// Claim is 0 in the first copy. In a later one it is the offset of the
 	// record that made the writer the coordinator.
 	Claim uint64 `cbor:"2,keyasint,omitempty"`
-	// Tasks is the progress in a later copy, one entry per task.
+	// Tasks is the progress in a later copy, one entry per task. It is empty in
+	// the first copy only.
 	Tasks []TaskProgress `cbor:"3,keyasint,omitempty"`
 }
 
