Release the lease of a worker that the VM list calls gone

Cause: the core forgot a gone worker without releasing its lease, so the session renewed the lease for ever. When the list named the worker again, every request for its lease was refused and the worker was lost to the cell. Ruled out: waiting for LeaseLost, which never comes while the worker answers.

--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -77,7 +77,9 @@
 	ran      map[string]int // starts by job
 	problems []string
 	cut      map[[2]string]bool
-	steps    int
+	// unreachable holds the pairs of process and worker without a connection.
+	unreachable map[[2]string]bool
+	steps       int
 }
 
 func testBundle() bundle.Bundle {
@@ -290,7 +292,7 @@
 
 func (cell *fakeCell) acquire(p *fakeProcess, a AcquireLease) {
 	w := cell.workers[a.Worker]
-	if w == nil || w.down {
+	if w == nil || cell.isDown(p, w) {
 		p.inbox = append(p.inbox, LeaseRefused{Worker: a.Worker})
 		return
 	}
@@ -309,6 +311,11 @@
 	p.inbox = append(p.inbox, LeaseGranted{Grant: grant})
 }
 
+// isDown reports whether the worker does not answer the process.
+func (cell *fakeCell) isDown(p *fakeProcess, w *fakeWorker) bool {
+	return w.down || cell.unreachable[[2]string{p.ref.Name, w.vm.Name}]
+}
+
 func (t *fakeTask) report() api.TaskReport {
 	r := api.TaskReport{Spec: t.spec, State: api.TaskRunning}
 	if t.ended {
@@ -331,7 +338,7 @@
 	if w == nil || w.epoch != epoch {
 		return nil
 	}
-	if w.down {
+	if cell.isDown(p, w) {
 		if p.held[name] == epoch {
 			p.repeat = append(p.repeat, action)
 		}
@@ -453,11 +460,11 @@
 	for _, name := range sortedKeys(p.held) {
 		epoch := p.held[name]
 		w := cell.workers[name]
-		if w != nil && !w.down && w.epoch == epoch && cell.now.Before(w.expires) {
+		if w != nil && !cell.isDown(p, w) && w.epoch == epoch && cell.now.Before(w.expires) {
 			w.expires = cell.now.Add(fakeLease)
 			continue
 		}
-		if w != nil && w.down && cell.now.Before(w.expires) {
+		if w != nil && cell.isDown(p, w) && cell.now.Before(w.expires) {
 			continue
 		}
 		delete(p.held, name)
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -118,7 +118,12 @@
 // removeWorker forgets a worker that no longer exists. What ran there is over.
 func (c *Core) removeWorker(w *workerState) {
 	name := w.vm.Name
-	if w.phase == leaseHeld || w.phase == leaseReleasing {
+	if w.phase == leaseHeld {
+		// The list may be wrong; a lease that is renewed on and on would keep the
+		// worker from everyone.
+		c.releaseLease(w)
+	}
+	if w.phase == leaseReleasing {
 		c.dropHeld(w)
 	}
 	for _, set := range []map[string]*workerState{c.workers.byName, c.workers.wanted, c.workers.fallback, c.workers.misplaced} {
