Let the second choice keep a worker that the first cannot reach

Cause: a worker that its preferred holder cannot reach was acquired by the second choice after 10 to 20 s, handed over after 3 s, refused, and so on. Also every lost or released lease ranked all workers again, which is quadratic when a process loses all of its leases. Ruled out: a longer minHold for all, which would slow down handovers that work. Now the second choice keeps such a worker for 2 minutes unless the preferred holder changes, and one lost lease ranks one worker. No timing was measured for the ranking.

--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -43,6 +43,7 @@
 	nextTry   time.Time
 	backoff   time.Duration
 	preferred api.EntryRef
+	asSecond  bool // acquired as the second choice
 }
 
 // isBefore reports whether the worker was granted under a later lease than the one
@@ -59,6 +60,11 @@
 	// minHold is how long a lease is kept before it is handed over, so that a
 	// process which comes and goes does not move its workers each time.
 	minHold = 3 * time.Second
+	// secondHold is how long the second choice keeps a worker that it acquired
+	// because the preferred holder did not. The preferred holder may be unable to
+	// reach the worker, and each vain handover leaves it unused for
+	// fallbackInterval and more.
+	secondHold = 2 * time.Minute
 	// fallbackInterval is the pause between two tries of the second choice for a
 	// worker's lease. It finds a worker that its preferred holder cannot reach.
 	fallbackInterval = 10 * time.Second
@@ -152,29 +158,35 @@
 		return
 	}
 	list := c.candidates()
-	wasWanted := c.workers.wanted
-	wasFallback := c.workers.fallback
-	c.workers.wanted = make(map[string]*workerState)
-	c.workers.fallback = make(map[string]*workerState)
-	clear(c.workers.misplaced)
 	for _, name := range sortedKeys(c.workers.byName) {
-		w := c.workers.byName[name]
-		first, second := choose(list, name, w.vm.Domain)
-		w.preferred = first
-		isHeld := w.phase == leaseHeld || w.phase == leaseReleasing
-		switch {
-		case first == c.cfg.Self && !isHeld:
-			c.workers.wanted[name] = w
-			if wasWanted[name] == nil {
-				w.nextTry = c.now
-			}
-		case first != c.cfg.Self && isHeld:
-			c.workers.misplaced[name] = w
-		case second == c.cfg.Self && !isHeld:
-			c.workers.fallback[name] = w
-			if wasFallback[name] == nil {
-				w.nextTry = c.now.Add(fallbackInterval + c.jitter(fallbackInterval))
-			}
+		c.chooseHolder(list, c.workers.byName[name])
+	}
+}
+
+// chooseHolder decides whether this process should hold one worker.
+func (c *Core) chooseHolder(list []candidate, w *workerState) {
+	name := w.vm.Name
+	wasWanted := c.workers.wanted[name] != nil
+	wasFallback := c.workers.fallback[name] != nil
+	delete(c.workers.wanted, name)
+	delete(c.workers.fallback, name)
+	delete(c.workers.misplaced, name)
+	first, second := choose(list, name, w.vm.Domain)
+	w.asSecond = w.asSecond && first == w.preferred
+	w.preferred = first
+	isHeld := w.phase == leaseHeld || w.phase == leaseReleasing
+	switch {
+	case first == c.cfg.Self && !isHeld:
+		c.workers.wanted[name] = w
+		if !wasWanted {
+			w.nextTry = c.now
+		}
+	case first != c.cfg.Self && isHeld:
+		c.workers.misplaced[name] = w
+	case second == c.cfg.Self && !isHeld:
+		c.workers.fallback[name] = w
+		if !wasFallback {
+			w.nextTry = c.now.Add(fallbackInterval + c.jitter(fallbackInterval))
 		}
 	}
 }
@@ -205,7 +217,11 @@
 	if c.stopping {
 		return c.canReleaseOnStop()
 	}
-	return w.preferred != (api.EntryRef{}) && c.now.Sub(w.heldSince) >= minHold
+	hold := minHold
+	if w.asSecond {
+		hold = secondHold
+	}
+	return w.preferred != (api.EntryRef{}) && c.now.Sub(w.heldSince) >= hold
 }
 
 func (c *Core) tryAcquire(w *workerState) {
@@ -213,6 +229,7 @@
 		return
 	}
 	w.phase = leaseAcquiring
+	w.asSecond = w.preferred != c.cfg.Self
 	t := c.policy.timing
 	c.emit(AcquireLease{
 		Worker:    w.vm.Name,
@@ -303,7 +320,7 @@
 	}
 	c.logEvent("lease_lost", Field{"worker", name}, Field{"epoch", strconv.FormatUint(epoch, 10)})
 	c.dropHeld(w)
-	c.chooseHolders()
+	c.chooseHolder(c.candidates(), w)
 }
 
 func (c *Core) leaseReleased(e LeaseReleased) {
@@ -313,7 +330,7 @@
 	}
 	c.logEvent("lease_released", Field{"worker", e.Worker}, Field{"epoch", strconv.FormatUint(e.Epoch, 10)})
 	c.dropHeld(w)
-	c.chooseHolders()
+	c.chooseHolder(c.candidates(), w)
 	if w.preferred != (api.EntryRef{}) && w.preferred != c.cfg.Self {
 		c.send(w.preferred, message.HandOver{Workers: []string{e.Worker}})
 	}
--- a/internal/core/leases_test.go
+++ b/internal/core/leases_test.go
@@ -40,3 +40,19 @@
 	cell.advance(10 * time.Second)
 	assert.Equal(t, cell.heldWorkers(), 2)
 }
+
+// TestSecondChoiceKeepsWorker guards against a worker that its preferred holder
+// cannot reach and that is handed over to it every few seconds in vain.
+func TestSecondChoiceKeepsWorker(t *testing.T) {
+	cell := warmCell(t, 2, 1)
+	holder := cell.workers["w00"].holder.Name
+	cell.unreachable = map[[2]string]bool{{holder, "w00"}: true}
+	cell.advance(30 * time.Second)
+	held := 0
+	const steps = 2400
+	for range steps {
+		cell.step()
+		held += cell.heldWorkers()
+	}
+	assert.Assert(t, held > steps*3/4, "held in %d of %d steps", held, steps)
+}
