Fix what is kept for callers and for ids that are used again

Cause: every status or cancel request of an unfinished job left its token in requests.jobs, since callerRequest registered it after the answer. A submission without an id was not registered at all, and callers behind a peer were dropped only from jobs with a caller here, so their waiters stayed. An id used again after not_run was no longer known as minted: its answer was not kept for retries, and its attempts were numbered from 1 again, so that a late message could be taken for a new attempt. A retry of a minted batch waited for its end, or heard unknown when the minting process was gone although the log has it. Ruled out: the node, which sends CallerGone only for callers that gave up.

--- a/internal/core/identity.go
+++ b/internal/core/identity.go
@@ -75,8 +75,9 @@
 	return ok
 }
 
-func (r *requestTable) dropWaitersOf(ref api.EntryRef) {
-	for _, j := range r.jobs {
+// dropWaitersOf forgets the callers behind a peer that is down.
+func (c *Core) dropWaitersOf(ref api.EntryRef) {
+	for _, j := range c.jobs.byID {
 		kept := j.waiters[:0]
 		for _, w := range j.waiters {
 			if w.from != ref {
@@ -91,9 +92,6 @@
 func (c *Core) callerRequest(e CallerRequest) {
 	w := waiter{token: e.Token, from: c.cfg.Self}
 	c.operate(w, e.Operation, e.Job)
-	if j := c.jobs.byID[e.Job.ID]; j != nil && j.phase != phaseDone {
-		c.requests.jobs[e.Token] = j
-	}
 }
 
 func (c *Core) operate(w waiter, op message.Operation, spec api.Job) {
@@ -133,6 +131,12 @@
 		c.reply(w, *j.final)
 		return
 	}
+	j.keep = true
+	c.addWaiter(w, j)
+}
+
+// addWaiter lets a caller wait for the job until it is answered or gone.
+func (c *Core) addWaiter(w waiter, j *job) {
 	j.waiters = append(j.waiters, w)
 	if w.from == c.cfg.Self {
 		c.requests.jobs[w.token] = j
@@ -151,6 +155,10 @@
 // submitMinted takes a job under an id that an entry process minted. Only that
 // incarnation can tell whether the id was used, so the job never runs elsewhere.
 func (c *Core) submitMinted(w waiter, spec api.Job) {
+	if j := c.jobs.byID[spec.ID]; j != nil && j.spec.Team == spec.Team && j.spec.Kind.Logged() {
+		c.replyAccepted(w, j) // every process knows the jobs in the log
+		return
+	}
 	ref, err := api.ParseJobID(spec.ID)
 	if err != nil {
 		c.reply(w, errorAnswer(spec.ID, fault.As(err)))
@@ -290,7 +298,6 @@
 			break
 		}
 	}
-	j.keep = true
 }
 
 // errorAnswer returns an answer that claims nothing about whether the job ran.
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -91,6 +91,14 @@
 	}
 }
 
+// continueNumbers numbers attempts after those of an earlier submission under the
+// same id, so that a late message about one of those is not taken for a new one.
+func (j *job) continueNumbers(old *job) {
+	for i := range min(len(j.tasks), len(old.tasks)) {
+		j.tasks[i].attempts = old.tasks[i].attempts
+	}
+}
+
 // jobTable holds the jobs by id.
 type jobTable struct {
 	byID     map[string]*job
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -77,7 +77,7 @@
 	c.logEvent("peer_down", Field{"peer", ref.String()})
 	c.holderDown(ref)
 	c.forwardsLost(ref)
-	c.requests.dropWaitersOf(ref)
+	c.dropWaitersOf(ref)
 	c.chooseHolders()
 }
 
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -132,8 +132,12 @@
 		c.refuse(w, spec, err)
 		return
 	}
-	j.keep = logged || spec.Key != "" || c.requests.wasMinted(spec.ID)
-	j.waiters = append(j.waiters, w)
+	old := c.jobs.byID[spec.ID]
+	if old != nil {
+		j.continueNumbers(old)
+	}
+	j.keep = logged || spec.Key != "" || old != nil || c.requests.wasMinted(spec.ID)
+	c.addWaiter(w, j)
 	c.jobs.byID[spec.ID] = j
 	c.counters.Submitted++
 	if !logged {
@@ -198,10 +202,10 @@
 			return
 		}
 		c.append(record.Record{Cancel: &record.Cancel{JobID: j.spec.ID}})
-		j.waiters = append(j.waiters, w)
+		c.addWaiter(w, j)
 		return
 	}
-	j.waiters = append(j.waiters, w)
+	c.addWaiter(w, j)
 	c.cancelTasks(j)
 }
 
