Answer keyed requests whose claim is not read in time

Cause: a keyed request that was handed out while its claim was not read is kept in parked, out of the queue, so its deadline was never checked: in a log outage the caller heard nothing, and the use stayed charged to class and team. One that expired in the queue before its claim was read was answered not_run, although another process may have claimed and run the key. Ruled out: Expire, which only sees waiting items. Now such requests expire too, and before the claim is read they hear unknown. Before: TestKeyedRequestInOutage, no answer. After: unknown, and the retry receives the answer of the one run.

--- a/internal/core/adopt.go
+++ b/internal/core/adopt.go
@@ -146,6 +146,7 @@
 		c.giveUp(j)
 	}
 	delete(c.jobs.byID, j.spec.ID)
+	delete(c.jobs.logging, j.spec.ID)
 	c.jobs.dropOwner(j)
 	j.phase = phaseDone
 	answer := errorAnswer(j.spec.ID, errForgotten(j.spec.ID))
--- a/internal/core/caller_test.go
+++ b/internal/core/caller_test.go
@@ -92,3 +92,25 @@
 	cell.advance(time.Second)
 	assert.Equal(t, cell.answer("e1", 3).Outcome, api.OutcomeAccepted)
 }
+
+// TestKeyedRequestInOutage guards against a request that hangs past its deadline
+// while its claim cannot be read, and against not_run for it, since another
+// process may have run the key.
+func TestKeyedRequestInOutage(t *testing.T) {
+	cell := warmCell(t, 2, 2)
+	job := request(time.Second)
+	job.Idempotent = false
+	job.Key = "hold-11"
+	job.DeadlineMS = 3000
+	cell.procs["e1"].lagsTo = cell.now.Add(time.Minute)
+	cell.ask("e0", 1, message.OpSubmit, job)
+	cell.ask("e1", 1, message.OpSubmit, job)
+	cell.advance(5 * time.Second)
+	assert.Equal(t, cell.answer("e0", 1).Outcome, api.OutcomeCompleted)
+	assert.Equal(t, cell.answer("e1", 1).Outcome, api.OutcomeUnknown)
+	cell.advance(time.Minute)
+	cell.ask("e1", 2, message.OpSubmit, job)
+	cell.advance(2 * time.Second)
+	assert.Equal(t, cell.answer("e1", 2).Outcome, api.OutcomeCompleted)
+	assert.Equal(t, len(cell.starts), 1)
+}
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -104,6 +104,8 @@
 	byID     map[string]*job
 	byOwner  map[api.EntryRef]map[string]*job // logged jobs that are not done
 	finished []*job                           // in order of doneAt
+	// logging are the jobs of this process whose own record was not read yet.
+	logging map[string]*job
 	// bodyBytes is the size of the kept answers.
 	bodyBytes int
 	sequence  uint64                  // of this process's records
@@ -126,6 +128,7 @@
 	return jobTable{
 		byID:    make(map[string]*job),
 		byOwner: make(map[api.EntryRef]map[string]*job),
+		logging: make(map[string]*job),
 		read:    make(map[api.EntryRef]uint64),
 		keys:    make(map[keyRef]*claim),
 	}
@@ -170,6 +173,7 @@
 	j.doneAt = c.now
 	j.final = &answer
 	j.spec.Payload = nil
+	delete(c.jobs.logging, j.spec.ID)
 	c.counters.count(answer.Outcome)
 	c.jobs.dropOwner(j)
 	for _, w := range j.waiters {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -242,6 +242,21 @@
 	for _, it := range c.queue.Expire(c.now) {
 		c.refuseWaiting(it, errTooLate())
 	}
+	c.expireParked()
+}
+
+// expireParked refuses requests whose deadline passed while they waited for their
+// claim to be read. They are out of the queue then.
+func (c *Core) expireParked() {
+	for _, id := range sortedKeys(c.jobs.logging) {
+		j := c.jobs.logging[id]
+		if j.spec.Kind.Logged() || j.deadline.IsZero() || j.deadline.After(c.now) {
+			continue
+		}
+		j.parked = nil
+		c.queue.Cancel(j.item(0, false).Key)
+		c.refuseWaiting(j.item(0, false), errTooLate())
+	}
 }
 
 // refuseRemoved refuses a task whose class or team left the bundle.
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -64,6 +64,7 @@
 		c.queue.Cancel(it.Key)
 	}
 	delete(c.jobs.byID, j.spec.ID)
+	delete(c.jobs.logging, j.spec.ID)
 	waiters := j.waiters
 	j.waiters = nil
 	j.phase = phaseDone
@@ -85,6 +86,7 @@
 // openParked lets the tasks of a job run whose own record was read.
 func (c *Core) openParked(j *job) {
 	j.phase = phaseOpen
+	delete(c.jobs.logging, j.spec.ID)
 	parked := j.parked
 	j.parked = nil
 	for _, it := range parked {
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -130,9 +130,22 @@
 	if res.outcome == api.OutcomeCompleted {
 		answer.Error = nil
 	}
+	if res.outcome == api.OutcomeNotRun && j.spec.Key != "" && !c.ownsKey(j.spec) {
+		c.answerUnclaimed(j, res.reason)
+	}
 	c.finishJob(j, answer)
 }
 
+// answerUnclaimed answers the callers of a request that ends before its claim was
+// read. It did not run here, but another process may have run its key.
+func (c *Core) answerUnclaimed(j *job, reason *fault.Error) {
+	waiters := j.waiters
+	j.waiters = nil
+	for _, w := range waiters {
+		c.reply(w, api.RefuseSubmission(api.Job{Key: j.spec.Key}, reason))
+	}
+}
+
 // taskOver ends a task that has no attempt: it was cancelled or refused while it
 // waited.
 func (c *Core) taskOver(j *job, number int, outcome api.Outcome) {
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -144,6 +144,7 @@
 		j.phase = phaseOpen
 		return
 	}
+	c.jobs.logging[spec.ID] = j
 	if spec.Kind.Logged() {
 		c.append(record.Record{Accept: &record.Accept{Job: spec}})
 		return
