Start gangs as a whole after a slow start record

Cause: when the reservations of a gang expired before its start records were read, or some holders refused, each task was tried again by itself. Parts of two gangs could then hold the room that both wait for. A task of a gang that is tried by itself and cancelled while it looks for room also left its use charged to class and team, because only the gang's own key was cancelled. Ruled out: longer reservations, which only move the limit. Now a gang is committed after all its start records were read and only while no reservation can have expired; refused tasks wait until it is known whether others run, and go back as a whole gang if none does. What remains: a gang of which a holder refuses one commit still starts in part and gets the missing task by itself.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -30,7 +30,9 @@
 	id        api.AttemptID
 	job       *job
 	item      queue.Item
-	gang      *gang // while the gang looks for room
+	gang      *gang      // while the gang looks for room
+	mates     []*attempt // of a gang that starts as a whole, this one included
+	logged    bool       // its start record was read
 	phase     attemptPhase
 	holder    api.EntryRef
 	place     message.Place
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -114,12 +114,59 @@
 	c.queue.Cancel(g.item.Key)
 	for _, a := range g.attempts {
 		a.gang = nil
+		a.mates = g.attempts
 	}
 	for _, a := range g.attempts {
 		c.proceed(a)
 	}
 }
 
+// commitGang commits a gang once all of its start records were read. If one of the
+// reservations may have expired meanwhile, none is committed and the whole gang
+// looks for room again.
+func (c *Core) commitGang(mates []*attempt) {
+	isWhole := !mates[0].job.cancelled
+	for _, a := range mates {
+		if !a.logged || a.phase != attemptLogging {
+			return
+		}
+		isWhole = isWhole && c.isUp(a.holder) && c.now.Sub(a.since) < c.policy.timing.reservationTTL*3/4
+	}
+	for _, a := range mates {
+		if isWhole {
+			c.commit(a)
+			continue
+		}
+		c.voidLogged(a, errStartLost())
+	}
+}
+
+// requeueGangTask puts a task of a gang back into the queue: with the whole gang
+// while no other task may run, else by itself. It returns false while it cannot be
+// told yet whether the others run.
+func (c *Core) requeueGangTask(j *job, it queue.Item) bool {
+	anyRuns := false
+	for i := range j.tasks {
+		a := c.tries.byTask[taskRef{j.spec.ID, i}]
+		switch {
+		case a == nil && j.tasks[i].phase != taskActive:
+		case a != nil && (a.phase == attemptRunning || a.phase == attemptStranded):
+			anyRuns = true
+		default:
+			return false
+		}
+	}
+	if anyRuns {
+		c.queue.Requeue(c.now, it)
+		return true
+	}
+	for i := range j.tasks {
+		c.queue.Cancel(j.item(i, true).Key)
+	}
+	c.queue.Requeue(c.now, j.item(gangTask, true))
+	return true
+}
+
 // abandonGang releases all reservations of a gang that could not be completed.
 func (c *Core) abandonGang(g *gang) {
 	for _, a := range g.attempts {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -196,12 +196,21 @@
 	if a == nil || a.phase != attemptLogging {
 		return
 	}
-	if j.cancelled {
-		c.send(a.holder, message.Release{Attempts: []api.AttemptID{a.id}})
-		c.attemptOver(a, result{outcome: api.OutcomeNotRun, reason: errCancelled()})
-		return
+	a.logged = true
+	switch {
+	case a.mates != nil:
+		c.commitGang(a.mates)
+	case j.cancelled:
+		c.voidLogged(a, errCancelled())
+	default:
+		c.commit(a)
 	}
-	c.commit(a)
+}
+
+// voidLogged ends an attempt with a start record that was not committed.
+func (c *Core) voidLogged(a *attempt, reason *fault.Error) {
+	c.send(a.holder, message.Release{Attempts: []api.AttemptID{a.id}})
+	c.attemptOver(a, result{outcome: api.OutcomeNotRun, reason: reason})
 }
 
 func (c *Core) readEnd(writer api.EntryRef, m record.End) {
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -95,16 +95,26 @@
 func (c *Core) requeueDelayed() {
 	kept := c.tries.delayed[:0]
 	for _, d := range c.tries.delayed {
-		switch {
-		case d.at.After(c.now):
+		if d.at.After(c.now) || !c.requeueNow(d.item) {
 			kept = append(kept, d)
-		case c.isWaiting(d.item.Key):
-			c.queue.Requeue(c.now, d.item)
 		}
 	}
 	c.tries.delayed = kept
 }
 
+// requeueNow puts a task back into the queue if it still waits. It returns false if
+// this has to be tried again later.
+func (c *Core) requeueNow(it queue.Item) bool {
+	if !c.isWaiting(it.Key) {
+		return true
+	}
+	if it.Kind == api.KindGang {
+		return c.requeueGangTask(c.jobs.byID[it.Key.JobID], it)
+	}
+	c.queue.Requeue(c.now, it)
+	return true
+}
+
 // isWaiting reports whether this process has to find room for the task.
 func (c *Core) isWaiting(key queue.Key) bool {
 	j := c.jobs.byID[key.JobID]
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -233,10 +233,10 @@
 	if t.phase == taskDone {
 		return
 	}
+	c.queue.Cancel(j.item(number, false).Key)
 	a := c.tries.byTask[taskRef{j.spec.ID, number}]
 	switch {
 	case a == nil && t.phase == taskWaiting:
-		c.queue.Cancel(j.item(number, false).Key)
 		c.taskOver(j, number, api.OutcomeNotRun)
 	case a != nil && !a.isCommitted():
 		c.abandon(a)
