Take back a start that does not count when a job is given up

Cause: proceed notes a start before its record is read. When the job is adopted first, the record does not count, but this process kept the task as started, so after a cancellation its copy of the job never ended and its callers waited.

--- a/internal/core/adopt.go
+++ b/internal/core/adopt.go
@@ -157,6 +157,17 @@
 	j.waiters = nil
 }
 
+// unstart takes back a start whose record was not read as the coordinator's and
+// thus does not count for the other processes.
+func (t *task) unstart(a *attempt) {
+	if a.logged {
+		return
+	}
+	t.phase = taskWaiting
+	t.attempts = a.id.Number - 1
+	t.place = placeRef{}
+}
+
 // giveUp stops coordinating a job that another process adopted. What runs goes on
 // under the new coordinator.
 func (c *Core) giveUp(j *job) {
@@ -172,6 +183,7 @@
 		}
 		if a.phase == attemptLogging {
 			c.send(a.holder, message.Release{Attempts: []api.AttemptID{a.id}})
+			j.tasks[i].unstart(a)
 		}
 		if !a.isCommitted() {
 			c.abandonOne(a)
