Cancel an expired job with one record

Cause: every waiting task of a logged job whose deadline passed, or whose class left the bundle, appended its own cancellation of the whole job.

--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -73,6 +73,7 @@
 	final     *api.Answer
 	doneAt    time.Time
 	cancelled bool
+	refused   bool // this process has appended a cancellation for its waiting tasks
 	// keep is true if callers may come back for the answer.
 	keep      bool
 	refreshed time.Time
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -200,7 +200,10 @@
 		return
 	}
 	if j.spec.Kind.Logged() {
-		c.append(record.Record{Cancel: &record.Cancel{JobID: j.spec.ID}})
+		if !j.refused {
+			j.refused = true
+			c.append(record.Record{Cancel: &record.Cancel{JobID: j.spec.ID}})
+		}
 		return
 	}
 	c.counters.countRefusal(reason.Kind)
