Close attempts whose coordinator or worker is lost

Cause: (1) a logged attempt whose coordinator died between reading the end and acknowledging it was never acknowledged: the adopter has no attempt to ask for. (2) One that the log tells is over but runs on, as after a wrong report that its worker is gone, was not stopped; a service would have run twice for good. (3) A coordinator did not learn that a living holder lost a worker that nobody else can reach, so the attempt was never stranded and its caller never answered. (4) Ends were sent every second for as long as the log was down. Ruled out for (3): WorkerHeld of the next holder, which never comes. Now holders close what the log tells is over, tell coordinators not_held when they lose a worker, and repeat ends with a pause that doubles up to a minute.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -255,13 +255,8 @@
 // of a logged attempt is kept while its job may still be adopted here.
 func (c *Core) acknowledgeStray(from api.EntryRef, spec api.TaskSpec) {
 	if spec.Kind.Logged() {
-		j := c.jobs.byID[spec.Attempt.Job]
-		isOver := j == nil && c.caughtUp
-		if j != nil {
-			t := j.taskAt(spec.Attempt.Task)
-			isOver = t == nil || t.phase == taskDone || t.attempts > spec.Attempt.Number
-		}
-		if !isOver {
+		isForgotten := c.jobs.byID[spec.Attempt.Job] == nil && c.caughtUp
+		if !isForgotten && !c.isClosed(spec.Attempt) {
 			return
 		}
 	}
@@ -366,7 +361,14 @@
 // attemptState handles a holder's answer about a stranded attempt.
 func (c *Core) attemptState(from api.EntryRef, m message.AttemptState) {
 	a := c.tries.byID[m.Attempt]
-	if a == nil || a.phase != attemptStranded {
+	if a == nil {
+		return
+	}
+	isAtHolder := a.phase == attemptCommitted || a.phase == attemptRunning
+	if m.Status == message.AttemptNotHeld && a.holder == from && isAtHolder {
+		c.strand(a)
+	}
+	if a.phase != attemptStranded {
 		return
 	}
 	switch m.Status {
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -42,6 +42,8 @@
 	stopped bool   // a stop was sent
 	report  api.TaskReport
 	endedAt time.Time
+	resends int // of the end since the last lease
+	resent  time.Time
 }
 
 func newHeldTasks() heldTasks {
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -347,6 +347,16 @@
 	c.pursueLeases()
 }
 
+// disownTasks tells the coordinators that their attempts on a worker have to be
+// asked for at its next holder, which may take long to come.
+func (c *Core) disownTasks(worker string) {
+	for _, t := range sortedAttempts(c.held.byWorker[worker], anyAttempt) {
+		if t.phase != heldEnded && t.spec.Coordinator != c.cfg.Self && c.isUp(t.spec.Coordinator) {
+			c.send(t.spec.Coordinator, message.AttemptState{Attempt: t.spec.Attempt, Status: message.AttemptNotHeld})
+		}
+	}
+}
+
 // dropHeld forgets a lease that has ended. Reservations are void; attempts of
 // this process on the worker have to be asked for at the next holder.
 func (c *Core) dropHeld(w *workerState) {
@@ -355,6 +365,7 @@
 	c.workers.heldCount--
 	delete(c.workers.misplaced, w.vm.Name)
 	c.pool.Remove(w.vm.Name)
+	c.disownTasks(w.vm.Name)
 	c.held.dropWorker(w.vm.Name)
 	c.strandWorker(w.vm.Name, c.cfg.Self)
 }
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -78,6 +78,9 @@
 	if c.policy == nil {
 		return
 	}
+	for _, t := range sortedAttempts(c.held.tasks, c.isOverInLog) {
+		c.stopOver(t)
+	}
 	for _, t := range sortedAttempts(c.held.tasks, c.isOrphan) {
 		since, ok := c.members.downSince[t.spec.Coordinator]
 		if !ok {
@@ -96,6 +99,34 @@
 	return !t.spec.Kind.Logged() && !c.isUp(t.spec.Coordinator)
 }
 
+// isOverInLog reports whether a logged attempt is over as the log tells it.
+func (c *Core) isOverInLog(t *heldTask) bool {
+	return t.spec.Kind.Logged() && c.isClosed(t.spec.Attempt)
+}
+
+// stopOver stops an attempt that still runs although the log tells that it is over,
+// as after a wrong report that its worker is gone. It forgets an ended one whose
+// coordinator is down and did not acknowledge it.
+func (c *Core) stopOver(t *heldTask) {
+	switch {
+	case t.phase != heldEnded:
+		c.stopHeld(t.spec.Attempt)
+	case !c.isUp(t.spec.Coordinator):
+		c.forgetHeld(t)
+	}
+}
+
+// isClosed reports whether the log holds the end of a logged attempt. Jobs that
+// are not known are not closed.
+func (c *Core) isClosed(id api.AttemptID) bool {
+	j := c.jobs.byID[id.Job]
+	if j == nil {
+		return false
+	}
+	t := j.taskAt(id.Task)
+	return t == nil || t.phase == taskDone || t.attempts > id.Number
+}
+
 func (c *Core) stopOrphan(t *heldTask) {
 	switch {
 	case t.phase == heldEnded && c.now.Sub(t.endedAt) >= endedRetention:
@@ -112,20 +143,35 @@
 	}
 }
 
-// resendInterval is the pause before an unacknowledged end is sent again.
-const resendInterval = 2 * time.Second
+// The pause before an unacknowledged end is sent again doubles from resendInterval
+// to maxResendInterval: while the log is down, ends of logged attempts are not
+// acknowledged for long.
+const (
+	resendInterval    = 2 * time.Second
+	maxResendInterval = time.Minute
+)
 
 // resendEnded repeats ends that were not acknowledged. The message may have been
 // lost with a link.
 func (c *Core) resendEnded() {
 	overdue := func(t *heldTask) bool {
-		return t.phase == heldEnded && c.now.Sub(t.endedAt) >= resendInterval && c.isUp(t.spec.Coordinator)
+		return t.phase == heldEnded && c.isUp(t.spec.Coordinator) && !c.now.Before(t.nextResend())
 	}
 	for _, t := range sortedAttempts(c.held.tasks, overdue) {
+		t.resends++
+		t.resent = c.now
 		c.send(t.spec.Coordinator, message.Ended{Report: t.report})
 	}
 }
 
+func (t *heldTask) nextResend() time.Time {
+	last := t.endedAt
+	if t.resends > 0 {
+		last = t.resent
+	}
+	return last.Add(min(resendInterval<<min(t.resends, 8), maxResendInterval))
+}
+
 // resendEndedTo sends the ends that a coordinator with a new link may have missed.
 func (c *Core) resendEndedTo(ref api.EntryRef) {
 	missed := func(t *heldTask) bool { return t.phase == heldEnded && t.spec.Coordinator == ref }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -132,7 +132,8 @@
 	AttemptNotHeld AttemptStatus = "not_held" // the receiver does not hold the worker
 )
 
-// AttemptState answers QueryAttempt; an ended attempt is answered by Ended.
+// AttemptState answers QueryAttempt; an ended attempt is answered by Ended. A
+// holder that loses a worker sends it with status not_held on its own.
 type AttemptState struct {
 	Attempt api.AttemptID `cbor:"1,keyasint"`
 	Status  AttemptStatus `cbor:"2,keyasint"`
