--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -73,6 +73,7 @@
 	final     *api.Answer
 	doneAt    time.Time
 	cancelled bool
+	refused   bool // this process has appended a cancellation for its waiting tasks
 	// keep is true if callers may come back for the answer.
 	keep      bool
 	refreshed time.Time
@@ -91,11 +92,21 @@
 	}
 }
 
+// continueNumbers numbers attempts after those of an earlier submission under the
+// same id, so that a late message about one of those is not taken for a new one.
+func (j *job) continueNumbers(old *job) {
+	for i := range min(len(j.tasks), len(old.tasks)) {
+		j.tasks[i].attempts = old.tasks[i].attempts
+	}
+}
+
 // jobTable holds the jobs by id.
 type jobTable struct {
 	byID     map[string]*job
 	byOwner  map[api.EntryRef]map[string]*job // logged jobs that are not done
 	finished []*job                           // in order of doneAt
+	// logging are the jobs of this process whose own record was not read yet.
+	logging map[string]*job
 	// bodyBytes is the size of the kept answers.
 	bodyBytes int
 	sequence  uint64                  // of this process's records
@@ -118,6 +129,7 @@
 	return jobTable{
 		byID:    make(map[string]*job),
 		byOwner: make(map[api.EntryRef]map[string]*job),
+		logging: make(map[string]*job),
 		read:    make(map[api.EntryRef]uint64),
 		keys:    make(map[keyRef]*claim),
 	}
@@ -162,6 +174,7 @@
 	j.doneAt = c.now
 	j.final = &answer
 	j.spec.Payload = nil
+	delete(c.jobs.logging, j.spec.ID)
 	c.counters.count(answer.Outcome)
 	c.jobs.dropOwner(j)
 	for _, w := range j.waiters {
@@ -201,7 +214,8 @@
 		j.dropBody()
 	}
 	for ref, k := range t.keys {
-		if k.won && c.now.Sub(k.readAt) >= c.cfg.KeyRetention {
+		isUsed := k.won || t.byID[k.jobID] == nil
+		if isUsed && c.now.Sub(k.readAt) >= c.cfg.KeyRetention {
 			delete(t.keys, ref)
 		}
 	}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -13,8 +13,8 @@
 // same records in the same order, so they agree on who coordinates a job and on
 // the state of its tasks.
 func (c *Core) readRecord(offset uint64, r record.Record) {
-	if r.Sequence <= c.jobs.read[r.Writer] {
-		return // a repeated append
+	if c.lostLog || r.Sequence <= c.jobs.read[r.Writer] {
+		return // after a gap, or a repeated append
 	}
 	c.jobs.read[r.Writer] = r.Sequence
 	switch {
@@ -64,6 +64,7 @@
 		c.queue.Cancel(it.Key)
 	}
 	delete(c.jobs.byID, j.spec.ID)
+	delete(c.jobs.logging, j.spec.ID)
 	waiters := j.waiters
 	j.waiters = nil
 	j.phase = phaseDone
@@ -85,6 +86,7 @@
 // openParked lets the tasks of a job run whose own record was read.
 func (c *Core) openParked(j *job) {
 	j.phase = phaseOpen
+	delete(c.jobs.logging, j.spec.ID)
 	parked := j.parked
 	j.parked = nil
 	for _, it := range parked {
@@ -93,8 +95,10 @@
 }
 
 func (c *Core) readAccept(offset uint64, writer api.EntryRef, m record.Accept) {
+	// Offset 0 is a valid claim; the first copy is the one without progress.
+	isFirst := len(m.Tasks) == 0
 	claimOffset := m.Claim
-	if claimOffset == 0 {
+	if isFirst {
 		claimOffset = offset
 	}
 	j := c.jobs.byID[m.Job.ID]
@@ -102,6 +106,9 @@
 		c.readProgress(j, writer, claimOffset, m)
 		return
 	}
+	if j == nil && !isFirst && c.caughtUp {
+		return // the job is over and forgotten; its replaced coordinator wrote this
+	}
 	if m.Job.Key != "" && !c.takeKey(writer, m.Job.Team, m.Job.Key, m.Job.ID) {
 		if j != nil && writer == c.cfg.Self {
 			c.loseKey(j)
@@ -189,12 +196,21 @@
 	if a == nil || a.phase != attemptLogging {
 		return
 	}
-	if j.cancelled {
-		c.send(a.holder, message.Release{Attempts: []api.AttemptID{a.id}})
-		c.attemptOver(a, result{outcome: api.OutcomeNotRun, reason: errCancelled()})
-		return
+	a.logged = true
+	switch {
+	case a.mates != nil:
+		c.commitGang(a.mates)
+	case j.cancelled:
+		c.voidLogged(a, errCancelled())
+	default:
+		c.commit(a)
 	}
-	c.commit(a)
+}
+
+// voidLogged ends an attempt with a start record that was not committed.
+func (c *Core) voidLogged(a *attempt, reason *fault.Error) {
+	c.send(a.holder, message.Release{Attempts: []api.AttemptID{a.id}})
+	c.attemptOver(a, result{outcome: api.OutcomeNotRun, reason: reason})
 }
 
 func (c *Core) readEnd(writer api.EntryRef, m record.End) {
@@ -255,7 +271,7 @@
 // refreshJobs appends the live jobs of this process again before the log drops
 // the earlier copies.
 func (c *Core) refreshJobs() {
-	if !c.logUp {
+	if !c.logUp || c.lostLog || c.now.Sub(c.resumedAt) < min(resumeGrace, c.cfg.RefreshInterval/2) {
 		return
 	}
 	mine := c.jobs.byOwner[c.cfg.Self]
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -95,16 +95,26 @@
 func (c *Core) requeueDelayed() {
 	kept := c.tries.delayed[:0]
 	for _, d := range c.tries.delayed {
-		switch {
-		case d.at.After(c.now):
+		if d.at.After(c.now) || !c.requeueNow(d.item) {
 			kept = append(kept, d)
-		case c.isWaiting(d.item.Key):
-			c.queue.Requeue(c.now, d.item)
 		}
 	}
 	c.tries.delayed = kept
 }
 
+// requeueNow puts a task back into the queue if it still waits. It returns false if
+// this has to be tried again later.
+func (c *Core) requeueNow(it queue.Item) bool {
+	if !c.isWaiting(it.Key) {
+		return true
+	}
+	if it.Kind == api.KindGang {
+		return c.requeueGangTask(c.jobs.byID[it.Key.JobID], it)
+	}
+	c.queue.Requeue(c.now, it)
+	return true
+}
+
 // isWaiting reports whether this process has to find room for the task.
 func (c *Core) isWaiting(key queue.Key) bool {
 	j := c.jobs.byID[key.JobID]
@@ -130,9 +140,22 @@
 	if res.outcome == api.OutcomeCompleted {
 		answer.Error = nil
 	}
+	if res.outcome == api.OutcomeNotRun && j.spec.Key != "" && !c.ownsKey(j.spec) {
+		c.answerUnclaimed(j, res.reason)
+	}
 	c.finishJob(j, answer)
 }
 
+// answerUnclaimed answers the callers of a request that ends before its claim was
+// read. It did not run here, but another process may have run its key.
+func (c *Core) answerUnclaimed(j *job, reason *fault.Error) {
+	waiters := j.waiters
+	j.waiters = nil
+	for _, w := range waiters {
+		c.reply(w, api.RefuseSubmission(api.Job{Key: j.spec.Key}, reason))
+	}
+}
+
 // taskOver ends a task that has no attempt: it was cancelled or refused while it
 // waited.
 func (c *Core) taskOver(j *job, number int, outcome api.Outcome) {
@@ -177,7 +200,10 @@
 		return
 	}
 	if j.spec.Kind.Logged() {
-		c.append(record.Record{Cancel: &record.Cancel{JobID: j.spec.ID}})
+		if !j.refused {
+			j.refused = true
+			c.append(record.Record{Cancel: &record.Cancel{JobID: j.spec.ID}})
+		}
 		return
 	}
 	c.counters.countRefusal(reason.Kind)
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -122,14 +122,19 @@
 		c.refuse(w, spec, err)
 		return
 	}
-	j.keep = logged || spec.Key != "" || c.requests.wasMinted(spec.ID)
-	j.waiters = append(j.waiters, w)
+	old := c.jobs.byID[spec.ID]
+	if old != nil {
+		j.continueNumbers(old)
+	}
+	j.keep = logged || spec.Key != "" || old != nil || c.requests.wasMinted(spec.ID)
+	c.addWaiter(w, j)
 	c.jobs.byID[spec.ID] = j
 	c.counters.Submitted++
 	if !logged {
 		j.phase = phaseOpen
 		return
 	}
+	c.jobs.logging[spec.ID] = j
 	if spec.Kind.Logged() {
 		c.append(record.Record{Accept: &record.Accept{Job: spec}})
 		return
@@ -188,10 +193,10 @@
 			return
 		}
 		c.append(record.Record{Cancel: &record.Cancel{JobID: j.spec.ID}})
-		j.waiters = append(j.waiters, w)
+		c.addWaiter(w, j)
 		return
 	}
-	j.waiters = append(j.waiters, w)
+	c.addWaiter(w, j)
 	c.cancelTasks(j)
 }
 
@@ -218,10 +223,10 @@
 	if t.phase == taskDone {
 		return
 	}
+	c.queue.Cancel(j.item(number, false).Key)
 	a := c.tries.byTask[taskRef{j.spec.ID, number}]
 	switch {
 	case a == nil && t.phase == taskWaiting:
-		c.queue.Cancel(j.item(number, false).Key)
 		c.taskOver(j, number, api.OutcomeNotRun)
 	case a != nil && !a.isCommitted():
 		c.abandon(a)
