--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
@@ -235,6 +236,7 @@
 	if a != nil && a.phase == attemptClosing {
 		c.closeAttempt(a, m)
 	}
+	c.closeHeld(m.Attempt)
 	c.closeIfDone(j)
 }
 
@@ -275,11 +277,16 @@
 		return
 	}
 	mine := c.jobs.byOwner[c.cfg.Self]
-	for _, id := range sortedKeys(mine) {
-		j := mine[id]
-		if c.now.Sub(j.refreshed) < c.cfg.RefreshInterval+c.spread(j) {
-			continue
+	var due []string
+	for id, j := range mine {
+		age := c.now.Sub(j.refreshed)
+		if age >= c.cfg.RefreshInterval && age >= c.cfg.RefreshInterval+c.spread(j) {
+			due = append(due, id)
 		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		j := mine[id]
 		j.refreshed = c.now
 		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: j.taskProgress()}})
 	}
