Ask for the log's retention in time to refresh the roll

Cause: the retention was asked for every 30 s, and only then was the roll in force considered for a refresh. A log that keeps records for less than about two minutes dropped the roll before the first refresh. Ruled out: the refresh itself; it was appended at 30 s as asked. Before: TestRollOutlivesRetention (retention 6 s) found no roll in a process that was started later, which never became ready. After: it passes. Conclusion: the interval is an eighth of the retention, at most 30 s.

--- a/internal/node/logs.go
+++ b/internal/node/logs.go
@@ -60,8 +60,12 @@
 
 // Intervals at which the log is asked for its retention.
 const (
-	retentionRetry    = 2 * time.Second
-	retentionInterval = 30 * time.Second
+	retentionRetry = 2 * time.Second
+	// The roll in force is appended again at a quarter to a half of the retention,
+	// so an eighth of it leaves room for an append that fails.
+	retentionShare = 8
+	retentionMin   = 200 * time.Millisecond
+	retentionMax   = 30 * time.Second
 )
 
 // watchRetention tells the control goroutine how long the log keeps records.
@@ -70,8 +74,8 @@
 		pause := retentionRetry
 		answer, err := n.logClient.Read(ctx, streamRolls, n.rollTail.Next(), 1, 0)
 		if err == nil {
-			pause = retentionInterval
 			retention := time.Duration(answer.RetentionMS) * time.Millisecond
+			pause = min(max(retention/retentionShare, retentionMin), retentionMax)
 			n.post(call(func(n *Node) { n.retentionKnown(retention) }))
 		}
 		select {
