Ask a peer again for a roll that was named once

Cause: a process whose link to the log is silent learns of a roll from a peer's summary. It asks each peer once a second at most, and a peer leaves an unchanged summary out of its heartbeats. A summary that came within a second of the last question was never followed up on an idle cell. Ruled out: the link and the chain; the rolls before arrived on the same way. Before: TestRollInTime/one_log_link_silent had roll 3 instead of 4 after 6 s. After: it passes; offers are compared again every second. Conclusion: the offer is kept until the link ends.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -56,6 +56,7 @@
 		case <-summary.C:
 			n.publishSummary()
 		case <-status.C:
+			n.compareOffered()
 			n.publishStatus()
 		case <-n.done:
 			return
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -40,7 +40,10 @@
 // PeerDown reports the end of a link.
 func (h meshHandler) PeerDown(ref api.EntryRef, cause error) {
 	h.n.log.Info("link_ended", zap.String("peer", ref.String()), zap.Error(cause))
-	h.n.post(coreEvent{core.PeerDown{Ref: ref}})
+	h.n.post(call(func(n *Node) {
+		delete(n.rolls.offered, ref)
+		n.step(core.PeerDown{Ref: ref})
+	}))
 }
 
 // memberList follows the VM list. One goroutine calls it.
--- a/internal/node/rolls.go
+++ b/internal/node/rolls.go
@@ -19,6 +19,8 @@
 	written time.Time
 	// fetched is when each peer was last asked for its roll.
 	fetched map[string]time.Time
+	// offered is the highest roll that each linked peer has named.
+	offered map[api.EntryRef]uint64
 	// inForce is the roll that the core works with.
 	inForce bundle.Hash
 	// caughtUp is true when the end of stream rolls was reached once. Before,
@@ -96,11 +98,27 @@
 
 // compareRoll asks a peer for its roll if its summary names a higher one.
 func (n *Node) compareRoll(from api.EntryRef, number uint64) {
+	if n.rolls.offered == nil {
+		n.rolls.offered = make(map[api.EntryRef]uint64)
+	}
+	n.rolls.offered[from] = number
 	if info, _, _ := n.chain.InForce(); number > info.Number {
 		n.fetchRollFrom(from)
 	}
 }
 
+// compareOffered asks again for rolls that peers have named and not sent. A peer
+// sends no summary while nothing changes, so a summary that came within
+// fetchInterval of the last question may be the only one that names the roll.
+func (n *Node) compareOffered() {
+	info, _, _ := n.chain.InForce()
+	for ref, number := range n.rolls.offered {
+		if number > info.Number {
+			n.fetchRollFrom(ref)
+		}
+	}
+}
+
 func (n *Node) fetchRollFrom(ref api.EntryRef) {
 	if n.rolls.fetched == nil {
 		n.rolls.fetched = make(map[string]time.Time)
