Prove rolls with real processes

The harness keeps one operator client for each process, because a process bounds the connections of operators and a client for each question used them up.

--- a/test/cell_test.go
+++ b/test/cell_test.go
@@ -30,15 +30,22 @@
 
 const (
 	signer = "alice"
-	team   = "desk"
-	token  = "secret"
+	// otherSigner is a second operator.
+	otherSigner = "bob"
+	team        = "desk"
+	token       = "secret"
 	// tokenHash is the SHA-256 of token.
 	tokenHash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
 	// settleBound is how long a condition may take to become true. It bounds a
 	// failing test only and is no measure of speed.
 	settleBound = 60 * time.Second
+	// maxCells bounds the cells that run at once, and so the load of the machine.
+	maxCells = 8
 )
 
+// cellSlots holds one element per running cell.
+var cellSlots = make(chan struct{}, maxCells)
+
 // binaries is the directory of the built programs.
 var binaries string
 
@@ -64,7 +71,7 @@
 	t        *testing.T
 	dir      string
 	platform *standin.Platform
-	key      ed25519.PrivateKey
+	keys     map[string]ed25519.PrivateKey // of the operators
 	entries  map[string]*entry
 	version  uint64
 }
@@ -78,6 +85,8 @@
 	peers   *proxy // in front of its peer listener
 	log     *proxy // between the process and the log
 	exited  chan error
+	// operator is kept, because a process bounds the connections of operators.
+	operator *operator.Client
 }
 
 // cellOptions are the sizes of a cell.
@@ -86,10 +95,11 @@
 	workers  int
 	capacity api.Resources
 	log      standin.LogConfig
+	bundle   bundle.Bundle
 }
 
 func defaultOptions() cellOptions {
-	return cellOptions{entries: 3, workers: 4,
+	return cellOptions{entries: 3, workers: 4, bundle: testBundle(),
 		capacity: api.Resources{CPUMilli: 4000, MemoryMB: 8000, Accelerators: 1, Slots: 8, Connections: 60}}
 }
 
@@ -100,17 +110,22 @@
 	for i := range o.entries {
 		c.startEntry(entryName(i))
 	}
-	c.roll(testBundle())
+	c.roll(o.bundle)
 	c.awaitReady()
 	c.awaitHeld(o.workers)
 	return c
 }
 
+// vmListLag is the time after which the stand-in's VM list shows a change.
+const vmListLag = 100 * time.Millisecond
+
 func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
 
 func newCell(t *testing.T, o cellOptions) *cell {
 	t.Helper()
-	lag := int64(100)
+	cellSlots <- struct{}{}
+	t.Cleanup(func() { <-cellSlots })
+	lag := vmListLag.Milliseconds()
 	platform, err := standin.Start(standin.Config{
 		Log: o.log,
 		VMs: standin.VMsConfig{LagMS: &lag},
@@ -118,10 +133,13 @@
 			PerRack: 6, Capacity: o.capacity, UsageLagMS: 500}},
 	})
 	assert.NilError(t, err)
-	_, key, err := ed25519.GenerateKey(nil)
-	assert.NilError(t, err)
-	c := &cell{t: t, dir: t.TempDir(), platform: platform, key: key, entries: make(map[string]*entry)}
+	c := &cell{t: t, dir: t.TempDir(), platform: platform,
+		keys: make(map[string]ed25519.PrivateKey), entries: make(map[string]*entry)}
 	t.Cleanup(c.close)
+	for _, name := range []string{signer, otherSigner} {
+		_, c.keys[name], err = ed25519.GenerateKey(nil)
+		assert.NilError(t, err)
+	}
 	return c
 }
 
@@ -147,9 +165,16 @@
 
 // startEntry starts an entry process and lists its VM.
 func (c *cell) startEntry(name string) *entry {
+	c.t.Helper()
+	return c.startEntryBehind(name, proxyFaults{})
+}
+
+// startEntryBehind starts an entry process whose link to the log has faults.
+func (c *cell) startEntryBehind(name string, logLink proxyFaults) *entry {
 	c.t.Helper()
 	e := &entry{name: name, domain: string('a' + name[len(name)-1] - '0'), exited: make(chan error, 1)}
 	e.log = startProxy(c.t, c.platform.Addresses().Log)
+	e.log.set(logLink)
 	e.command = exec.Command(filepath.Join(binaries, "fulmarlatchd"), "--config", c.writeSettings(e))
 	logFile, err := os.Create(filepath.Join(c.dir, fmt.Sprintf("%s-%d.log", name, time.Now().UnixNano())))
 	assert.NilError(c.t, err)
@@ -160,6 +185,7 @@
 	line, err := bufio.NewReader(stdout).ReadBytes('\n')
 	assert.NilError(c.t, err, "%s printed no addresses", name)
 	assert.NilError(c.t, json.Unmarshal(line, &e.address))
+	e.operator = operator.NewClient(e.address.Operator, nil)
 	go func() {
 		e.exited <- e.command.Wait()
 		close(e.exited)
@@ -172,13 +198,16 @@
 }
 
 func (c *cell) writeSettings(e *entry) string {
-	public := c.key.Public().(ed25519.PublicKey)
+	operators := make(map[string]string)
+	for name, key := range c.publicKeys() {
+		operators[name] = hex.EncodeToString(key)
+	}
 	local := map[string]string{"listen": "127.0.0.1:0"}
 	data, err := json.Marshal(map[string]any{
 		"entry": e.name, "domain": e.domain, "region": "r",
 		"caller": local, "peer": local, "operator": local,
 		"vm_list": c.platform.Addresses().VMs, "log": e.log.address(),
-		"operators": map[string]string{signer: hex.EncodeToString(public)},
+		"operators": operators,
 		"log_level": "info",
 	})
 	assert.NilError(c.t, err)
@@ -187,6 +216,15 @@
 	return path
 }
 
+// publicKeys returns the operators' keys as the entry processes know them.
+func (c *cell) publicKeys() bundle.Keys {
+	keys := make(bundle.Keys)
+	for name, key := range c.keys {
+		keys[name] = key.Public().(ed25519.PublicKey)
+	}
+	return keys
+}
+
 // testBundle returns a bundle with an urgent and a bulky class.
 func testBundle() bundle.Bundle {
 	b := bundle.Bundle{Version: 1, Timing: bundle.DefaultTiming(), Fleet: bundle.Fleet{PackingWeight: 0.5}}
@@ -204,23 +242,28 @@
 	c.t.Helper()
 	c.version++
 	b.Version = c.version
-	signed := c.sign(b)
+	signed := c.sign(b, signer, c.keys[signer])
 	c.appendRolls(signed.Records)
 	return signed.Number
 }
 
 // sign makes b the next roll after the one in the log.
-func (c *cell) sign(b bundle.Bundle) bundle.Signed {
+func (c *cell) sign(b bundle.Bundle, name string, key ed25519.PrivateKey) bundle.Signed {
 	c.t.Helper()
-	chain := bundle.NewChain(bundle.Keys{signer: c.key.Public().(ed25519.PublicKey)})
+	chain := bundle.NewChain(c.publicKeys())
 	client := platformlog.NewClient(c.platform.Addresses().Log)
 	defer client.Close()
-	answer, err := client.Read(context.Background(), "rolls", 0, 1000, 0)
-	assert.NilError(c.t, err)
-	for _, r := range answer.Records {
-		_, _ = chain.Apply(r.Offset, r.Data)
+	for {
+		answer, err := client.Read(context.Background(), "rolls", chain.Next(), 1000, 0)
+		assert.NilError(c.t, err)
+		if len(answer.Records) == 0 {
+			break
+		}
+		for _, r := range answer.Records {
+			_, _ = chain.Apply(r.Offset, r.Data)
+		}
 	}
-	signed, err := chain.Sign(b, signer, c.key, time.Now())
+	signed, err := chain.Sign(b, name, key, time.Now())
 	assert.NilError(c.t, err)
 	return signed
 }
@@ -273,12 +316,10 @@
 	})
 }
 
-func (e *entry) operator() *operator.Client { return operator.NewClient(e.address.Operator, nil) }
-
 func (e *entry) readiness() operator.Readiness {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	ready, _ := e.operator().Ready(ctx)
+	ready, _ := e.operator.Ready(ctx)
 	return ready
 }
 
@@ -286,7 +327,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	var d node.Dump
-	data, err := e.operator().Dump(ctx)
+	data, err := e.operator.Dump(ctx)
 	if err == nil {
 		_ = json.Unmarshal(data, &d)
 	}
@@ -337,72 +378,3 @@
 	j.Class, j.Kind, j.Tasks = "bulk", kind, tasks
 	return j
 }
-
-// checkAnswer fails unless the answer is the whole one of this job.
-func (c *cell) checkAnswer(j api.Job, a api.Answer) {
-	c.t.Helper()
-	assert.Equal(c.t, a.Outcome, api.OutcomeCompleted, "%v", a.Error)
-	var payload standin.Payload
-	assert.NilError(c.t, json.Unmarshal(j.Payload, &payload))
-	assert.NilError(c.t, standin.CheckAnswer(a.Body, a.JobID, 0, payload))
-}
-
-// checkWorkers fails if a worker saw a broken promise or was asked for more than
-// it holds.
-func (c *cell) checkWorkers() {
-	c.t.Helper()
-	assert.Equal(c.t, len(c.platform.Violations()), 0, "%v", c.platform.Violations())
-	refusals := c.platform.History(0).Refusals
-	assert.Equal(c.t, len(refusals), 0, "%v", refusals)
-}
-
-// runs returns how often tasks of a job were started.
-func (c *cell) runs(jobID string) int {
-	count := 0
-	for page := c.platform.History(0); len(page.Runs) > 0; page = c.platform.History(page.Next) {
-		for _, r := range page.Runs {
-			if r.Attempt.Job == jobID {
-				count++
-			}
-		}
-	}
-	return count
-}
-
-// awaitHeldBy waits until the named entry processes hold that many workers.
-func (c *cell) awaitHeldBy(workers int, names ...string) {
-	c.t.Helper()
-	c.await("leases to move", func() bool {
-		held := 0
-		for _, name := range names {
-			held += len(c.entries[name].dump().Core.Held)
-		}
-		return held == workers
-	})
-}
-
-// awaitLinks waits until an entry process has that many links.
-func (c *cell) awaitLinks(name string, links int) {
-	c.t.Helper()
-	c.await("links to change", func() bool { return len(c.entries[name].dump().Core.Peers) == links })
-}
-
-// awaitSettled waits until all live entry processes are linked, hold all workers
-// and have no attempt without a holder.
-func (c *cell) awaitSettled(workers int) {
-	c.t.Helper()
-	c.awaitHeld(workers)
-	c.await("stranded attempts to be found", func() bool {
-		for _, e := range c.entries {
-			if e.dump().Core.Attempts.Stranded > 0 {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-func (c *cell) workerFault(name string, f standin.WorkerFaults) {
-	c.t.Helper()
-	assert.NilError(c.t, c.platform.SetWorker(name, f))
-}
--- /dev/null
+++ b/test/rollstart_test.go
@@ -0,0 +1,137 @@
+package test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/standin"
+)
+
+// TestStartWhileLogDown guards against a process that cannot start in a log outage
+// although its peers know the roll in force.
+func TestStartWhileLogDown(t *testing.T) {
+	t.Parallel()
+	o := defaultOptions()
+	o.entries = 2
+	c := startCell(t, o)
+	c.roll(testBundle())
+	c.awaitRollInTime(2)
+	c.platform.SetLog(standin.LogFaults{Down: true})
+	watch := watchReadiness(c.startEntry("entry-2"))
+	c.awaitReady()
+	c.awaitHeld(o.workers)
+	for _, r := range watch.finish() {
+		assert.Assert(t, !r.Ready || r.Roll == 2, "%+v", r)
+	}
+	j := request(0, 10)
+	c.checkAnswer(j, c.client("entry-2").Submit(context.Background(), j))
+}
+
+// TestNotReadyWithoutRoll guards against a process that takes work without knowing
+// the bundle in force.
+func TestNotReadyWithoutRoll(t *testing.T) {
+	t.Parallel()
+	o := defaultOptions()
+	o.entries = 1
+	c := startCell(t, o)
+	c.kill("entry-0")
+	c.platform.SetLog(standin.LogFaults{Down: true})
+	e := c.startEntry("entry-0")
+	watch := watchReadiness(e)
+	c.await("the workers to be known", func() bool { return len(e.dump().Core.Workers) == o.workers })
+	answer := c.client("entry-0").Submit(context.Background(), request(0, 10))
+	assert.Equal(t, answer.Outcome, api.OutcomeNotRun)
+	for _, r := range watch.finish() {
+		assert.Assert(t, !r.Ready, "%+v", r)
+	}
+	c.platform.SetLog(standin.LogFaults{})
+	c.awaitReady()
+	assert.Equal(t, e.readiness().Roll, uint64(1))
+}
+
+// rollHistory is the number of rolls in a long stream, with records between them
+// that fill many pages of a reader.
+const (
+	rollHistory   = 12
+	rollSpacing   = 300 << 10 // bytes
+	slowLogLink   = 2 << 20   // bytes a second
+	slowLinkDelay = 5 * time.Millisecond
+)
+
+// TestRestartNeverServesOlderRoll guards against a process that puts an older roll
+// in force while it reads a long stream of rolls through a slow link.
+func TestRestartNeverServesOlderRoll(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		entries int
+	}{
+		{"with peers", 3},
+		{"alone", 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			o := defaultOptions()
+			o.entries = test.entries
+			c := startCell(t, o)
+			c.kill("entry-0")
+			var newest uint64
+			for range rollHistory {
+				c.appendRolls([][]byte{make([]byte, rollSpacing)})
+				newest = c.roll(testBundle())
+			}
+			e := c.startEntryBehind("entry-0", proxyFaults{Delay: slowLinkDelay, BytesPerSecond: slowLogLink})
+			watch := watchReadiness(e)
+			c.await("the log to be read", func() bool { return e.dump().RollSettled && e.readiness().Ready })
+			c.await("the newest roll", func() bool { return e.dump().Core.Roll == newest })
+			early := 0
+			for _, r := range watch.finish() {
+				assert.Assert(t, !r.Ready || r.Roll == newest, "%+v", r)
+				if !r.Ready {
+					early++
+				}
+			}
+			assert.Assert(t, early > 0, "the process was not seen before it was ready")
+		})
+	}
+}
+
+// shortRetention is how long the log keeps records in the test of refreshing.
+const shortRetention = 6 * time.Second
+
+// TestRollOutlivesRetention guards against a roll, or an accepted job, that is lost
+// when the log drops the records that it came with.
+func TestRollOutlivesRetention(t *testing.T) {
+	t.Parallel()
+	o := defaultOptions()
+	o.log.RetentionMS = shortRetention.Milliseconds()
+	c := startCell(t, o)
+	service := c.client("entry-0").Submit(context.Background(), job(api.KindService, 1, 0))
+	assert.Equal(t, service.Outcome, api.OutcomeAccepted, "%v", service.Error)
+	c.awaitDropped("rolls", 10)
+	c.awaitDropped("work", 3)
+	for name := range c.entries {
+		c.kill(name)
+	}
+	e := c.startEntry("entry-0")
+	c.awaitReady()
+	assert.Equal(t, e.readiness().Roll, uint64(1))
+	c.awaitHeld(o.workers)
+	c.await("the service to be adopted", func() bool {
+		return c.client("entry-0").Cancel(context.Background(), service.JobID).Outcome == api.OutcomeFailed
+	})
+	assert.Equal(t, c.runs(service.JobID), 1)
+}
+
+// awaitDropped waits until the log has dropped that many records of a stream.
+func (c *cell) awaitDropped(stream string, records uint64) {
+	c.t.Helper()
+	client := c.logClient()
+	c.await("the log to drop records of "+stream, func() bool {
+		answer, err := client.Read(context.Background(), stream, 0, 1, 0)
+		return err == nil && answer.Oldest >= records
+	})
+}
