Finish requests when all entry processes stop at once

Cause: a stopping process hands its workers over to a peer that has not announced its own stop yet. When all are stopping, none wants the workers again, and waiting requests find no room until the shutdown grace ends. Ruled out: the queue and the deadlines; the requests were waiting, not refused. Before: TestPlannedStopFinishesRequests/the_whole_cell exited with code 1 after 30 s. After: it passes. Conclusion: without a live candidate a process with open requests counts itself.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -200,6 +200,9 @@
 		return
 	}
 	c.lastSecond = c.now
+	if c.stopping {
+		c.chooseHolders() // open requests may have ended
+	}
 	c.stopOrphans()
 	c.relievePressure()
 	c.resendEnded()
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -117,7 +117,8 @@
 }
 
 // candidates returns the live entry processes, this one included unless it is
-// stopping, sorted by name.
+// stopping, sorted by name. When all are stopping, this one still counts while it
+// has open requests, because no other process would run them.
 func (c *Core) candidates() []candidate {
 	var list []candidate
 	if !c.stopping {
@@ -126,6 +127,9 @@
 	for _, p := range c.livePeers() {
 		list = append(list, candidate{ref: p.ref, domain: p.domain})
 	}
+	if len(list) == 0 && c.hasOpenRequests() {
+		list = append(list, candidate{ref: c.cfg.Self, domain: c.cfg.Domain})
+	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		if a.ref.Name < b.ref.Name {
 			return -1
