--- a/test/check_test.go
+++ b/test/check_test.go
@@ -28,19 +28,46 @@
 	assert.Equal(c.t, len(refusals), 0, "%v", refusals)
 }
 
-// runs returns how often tasks of a job were started.
-func (c *cell) runs(jobID string) int {
-	count := 0
+// runsOf returns the runs of a job's tasks.
+func (c *cell) runsOf(jobID string) []standin.Run {
+	var list []standin.Run
 	for page := c.platform.History(0); len(page.Runs) > 0; page = c.platform.History(page.Next) {
 		for _, r := range page.Runs {
 			if r.Attempt.Job == jobID {
-				count++
+				list = append(list, r)
 			}
 		}
 	}
+	return list
+}
+
+// runs returns how often tasks of a job were started.
+func (c *cell) runs(jobID string) int { return len(c.runsOf(jobID)) }
+
+// running returns how many tasks of a job run now.
+func (c *cell) running(jobID string) int {
+	count := 0
+	for _, r := range c.runsOf(jobID) {
+		if r.EndedMS == 0 {
+			count++
+		}
+	}
 	return count
 }
 
+// checkRuns fails unless each task of a job was started at least min and at most
+// max times.
+func (c *cell) checkRuns(jobID string, tasks, min, max int) {
+	c.t.Helper()
+	starts := make([]int, tasks)
+	for _, r := range c.runsOf(jobID) {
+		starts[r.Attempt.Task]++
+	}
+	for task, n := range starts {
+		assert.Assert(c.t, n >= min && n <= max, "task %d of %s was started %d times, not %d to %d", task, jobID, n, min, max)
+	}
+}
+
 // awaitHeldBy waits until the named entry processes hold that many workers.
 func (c *cell) awaitHeldBy(workers int, names ...string) {
 	c.t.Helper()
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -22,12 +22,12 @@
 
 // workload sends mixed requests through all entry processes while a fault acts.
 type workload struct {
-	c       *cell
-	clients []*caller.Client
-	stop    chan struct{}
-	group   conc.WaitGroup
+	c     *cell
+	stop  chan struct{}
+	group conc.WaitGroup
 
-	mu      sync.Mutex // guards results
+	mu      sync.Mutex // guards the fields below
+	clients []*caller.Client
 	results []callerResult
 }
 
@@ -38,17 +38,37 @@
 // workload is finished.
 func (c *cell) startWorkload(seed uint64) *workload {
 	w := &workload{c: c, stop: make(chan struct{})}
-	for name := range c.entries {
-		w.clients = append(w.clients, c.client(name))
+	for i := range len(c.entries) {
+		w.clients = append(w.clients, c.client(entryName(i)))
 	}
 	for i := range callersPerEntry * len(w.clients) {
 		rng := rand.New(rand.NewPCG(seed, uint64(i)))
-		w.group.Go(func() { w.callRepeatedly(w.clients[i%len(w.clients)], rng) })
+		w.group.Go(func() { w.callRepeatedly(i, rng) })
 	}
 	return w
 }
 
-func (w *workload) callRepeatedly(client *caller.Client, rng *rand.Rand) {
+// client returns the client of some entry process.
+func (w *workload) client(i int) *caller.Client {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clients[i%len(w.clients)]
+}
+
+// replaced turns the callers of an entry process to the one that took its place.
+func (w *workload) replaced(i int) {
+	client := w.c.client(entryName(i))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.clients[i] = client
+}
+
+// turnAwayPause is a caller's pause before it turns to another entry process.
+const turnAwayPause = 20 * time.Millisecond
+
+// callRepeatedly sends one request after the other to an entry process, and turns
+// to the next one when it does not take the request, as behind a load balancer.
+func (w *workload) callRepeatedly(entry int, rng *rand.Rand) {
 	for {
 		select {
 		case <-w.stop:
@@ -58,9 +78,10 @@
 		j := randomRequest(rng)
 		ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
 		if rng.IntN(3) == 0 {
-			w.callMinted(ctx, client, j, rng)
-		} else {
-			w.note(j, client.Submit(ctx, j))
+			w.callMinted(ctx, w.client(entry), j, rng)
+		} else if answer := w.client(entry).Submit(ctx, j); w.note(j, answer) != api.OutcomeCompleted {
+			entry++
+			time.Sleep(turnAwayPause)
 		}
 		cancel()
 	}
@@ -81,11 +102,10 @@
 		if answer.JobID == "" {
 			answer.JobID = id
 		}
-		w.note(j, answer)
-		if answer.Outcome != api.OutcomeUnknown {
+		if w.note(j, answer) != api.OutcomeUnknown {
 			return
 		}
-		client = w.clients[rng.IntN(len(w.clients))]
+		client = w.client(rng.Int())
 	}
 }
 
@@ -100,10 +120,12 @@
 	return j
 }
 
-func (w *workload) note(j api.Job, answer api.Answer) {
+// note keeps an answer and returns its outcome.
+func (w *workload) note(j api.Job, answer api.Answer) api.Outcome {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.results = append(w.results, callerResult{j, answer})
+	return answer.Outcome
 }
 
 // finish stops the callers and checks every promise to them.
