--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,10 @@
 
 test: test-setup format vet lint unit
 
+# A cell on loopback, with every outcome checked; needs bash and curl.
+demo: build
+	./scripts/demo.sh
+
 # Measurements; each appends its figures to the table, which is printed at the end.
 # They take a few minutes and are no part of "make test".
 BENCH_FILE ?= $(CURDIR)/bin/bench.txt
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -30,10 +30,13 @@
 	id        api.AttemptID
 	job       *job
 	item      queue.Item
-	gang      *gang // while the gang looks for room
+	gang      *gang      // while the gang looks for room
+	mates     []*attempt // of a gang that starts as a whole, this one included
+	logged    bool       // its start record was read
 	phase     attemptPhase
 	holder    api.EntryRef
 	place     message.Place
+	granted   uint64 // latest epoch of the worker that a holder announced
 	since     time.Time
 	started   time.Time
 	tried     []string // names of holders, while it looks for room
@@ -253,13 +256,8 @@
 // of a logged attempt is kept while its job may still be adopted here.
 func (c *Core) acknowledgeStray(from api.EntryRef, spec api.TaskSpec) {
 	if spec.Kind.Logged() {
-		j := c.jobs.byID[spec.Attempt.Job]
-		isOver := j == nil && c.caughtUp
-		if j != nil {
-			t := j.taskAt(spec.Attempt.Task)
-			isOver = t == nil || t.phase == taskDone || t.attempts > spec.Attempt.Number
-		}
-		if !isOver {
+		isForgotten := c.jobs.byID[spec.Attempt.Job] == nil && c.caughtUp
+		if !isForgotten && !c.isClosed(spec.Attempt) {
 			return
 		}
 	}
@@ -328,6 +326,7 @@
 			c.strand(a)
 		}
 		if a.phase == attemptStranded {
+			a.granted = max(a.granted, m.Epoch)
 			c.query(from, a)
 		}
 	}
@@ -335,7 +334,8 @@
 
 func (c *Core) query(to api.EntryRef, a *attempt) {
 	c.send(to, message.QueryAttempt{
-		Attempt: a.id, Worker: a.place.Worker, Epoch: a.place.Epoch, Boot: a.place.Boot,
+		Attempt: a.id, Worker: a.place.Worker, Epoch: max(a.place.Epoch, a.granted), Boot: a.place.Boot,
+		Claim: a.job.claim,
 	})
 }
 
@@ -362,11 +362,21 @@
 // attemptState handles a holder's answer about a stranded attempt.
 func (c *Core) attemptState(from api.EntryRef, m message.AttemptState) {
 	a := c.tries.byID[m.Attempt]
-	if a == nil || a.phase != attemptStranded {
+	if a == nil {
+		return
+	}
+	isAtHolder := a.phase == attemptCommitted || a.phase == attemptRunning
+	if m.Status == message.AttemptNotHeld && a.holder == from && isAtHolder {
+		c.strand(a)
+	}
+	if a.phase != attemptStranded {
 		return
 	}
 	switch m.Status {
 	case message.AttemptRunning:
+		if m.Place.Boot == a.place.Boot && m.Place.Epoch < a.granted {
+			return // the holder has lost its lease since
+		}
 		delete(c.tries.stranded, a.id)
 		a.holder = from
 		a.place = m.Place
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -41,9 +41,12 @@
 	spec    api.TaskSpec // payload unset
 	place   message.Place
 	phase   heldPhase
+	claim   uint64          // of the coordinator that asked last, 0 if none did
 	stopped bool            // a stop was sent
 	report  *api.TaskReport // once ended
 	endedAt time.Time
+	resends int // of the end since the last lease
+	resent  time.Time
 }
 
 func newHeldTasks() heldTasks {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -36,6 +36,9 @@
 	outcome  api.Outcome
 	// place is where the last attempt of a logged job may run, as the log says.
 	place placeRef
+	// body and omitted are the answer of a done task of a logged job.
+	body    []byte
+	omitted int64
 }
 
 // placeRef names a worker under one epoch and boot.
@@ -70,6 +73,7 @@
 	final     *api.Answer
 	doneAt    time.Time
 	cancelled bool
+	refused   bool // this process has appended a cancellation for its waiting tasks
 	// keep is true if callers may come back for the answer.
 	keep      bool
 	refreshed time.Time
@@ -88,11 +92,21 @@
 	}
 }
 
+// continueNumbers numbers attempts after those of an earlier submission under the
+// same id, so that a late message about one of those is not taken for a new one.
+func (j *job) continueNumbers(old *job) {
+	for i := range min(len(j.tasks), len(old.tasks)) {
+		j.tasks[i].attempts = old.tasks[i].attempts
+	}
+}
+
 // jobTable holds the jobs by id.
 type jobTable struct {
 	byID     map[string]*job
 	byOwner  map[api.EntryRef]map[string]*job // logged jobs that are not done
 	finished []*job                           // in order of doneAt
+	// logging are the jobs of this process whose own record was not read yet.
+	logging map[string]*job
 	// bodyBytes is the size of the kept answers.
 	bodyBytes int
 	sequence  uint64                  // of this process's records
@@ -117,6 +131,7 @@
 	return jobTable{
 		byID:    make(map[string]*job),
 		byOwner: make(map[api.EntryRef]map[string]*job),
+		logging: make(map[string]*job),
 		read:    make(map[api.EntryRef]uint64),
 		keys:    make(map[keyRef]*claim),
 	}
@@ -161,6 +176,7 @@
 	j.doneAt = c.now
 	j.final = &answer
 	j.spec.Payload = nil
+	delete(c.jobs.logging, j.spec.ID)
 	c.counters.count(answer.Outcome)
 	c.jobs.dropOwner(j)
 	for _, w := range j.waiters {
@@ -172,7 +188,7 @@
 		return
 	}
 	c.jobs.finished = append(c.jobs.finished, j)
-	c.jobs.bodyBytes += len(answer.Body)
+	c.jobs.bodyBytes += answer.BodyBytes()
 }
 
 // forgetFinished drops the oldest finished jobs past their retention, and their
@@ -186,7 +202,7 @@
 			break
 		}
 		drop++
-		t.bodyBytes -= len(j.final.Body)
+		t.bodyBytes -= j.final.BodyBytes()
 		if t.byID[j.spec.ID] == j {
 			delete(t.byID, j.spec.ID)
 		}
@@ -197,7 +213,7 @@
 		if t.bodyBytes <= maxFinishedBody {
 			break
 		}
-		t.bodyBytes -= len(j.final.Body)
+		t.bodyBytes -= j.final.BodyBytes()
 		j.dropBody()
 	}
 	c.forgetKeys()
@@ -215,7 +231,8 @@
 	}
 	t.keysChecked = c.now
 	for ref, k := range t.keys {
-		if k.won && c.now.Sub(k.readAt) >= c.cfg.KeyRetention {
+		isUsed := k.won || t.byID[k.jobID] == nil
+		if isUsed && c.now.Sub(k.readAt) >= c.cfg.KeyRetention {
 			delete(t.keys, ref)
 		}
 	}
@@ -223,11 +240,13 @@
 
 // dropBody replaces the kept answer by one that says that it is gone.
 func (j *job) dropBody() {
-	if len(j.final.Body) == 0 {
+	if j.final.BodyBytes() == 0 {
 		return
 	}
 	answer := *j.final
 	answer.Body = nil
+	answer.Results = nil
+	j.tasks = nil
 	answer.Error = errAnswerDropped(j.spec.ID)
 	j.final = &answer
 }
@@ -237,6 +256,16 @@
 	return api.Answer{JobID: j.spec.ID, Outcome: api.OutcomeAccepted, Tasks: j.counts()}
 }
 
+// results returns the answers of the tasks of a logged job.
+func (j *job) results() []api.TaskResult {
+	list := make([]api.TaskResult, len(j.tasks))
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		list[i] = api.TaskResult{Task: i, Outcome: t.outcome, Body: t.body, OmittedBytes: t.omitted}
+	}
+	return list
+}
+
 // counts returns the number of tasks by state.
 func (j *job) counts() *api.TaskCounts {
 	counts := &api.TaskCounts{}
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -56,6 +56,13 @@
 	nextTry   time.Time
 	backoff   time.Duration
 	preferred api.EntryRef
+	asSecond  bool // acquired as the second choice
+}
+
+// isBefore reports whether the worker was granted under a later lease than the one
+// held here, so that this process has lost its lease without knowing it yet.
+func (w *workerState) isBefore(boot, epoch uint64) bool {
+	return w.boot < boot || w.boot == boot && w.epoch < epoch
 }
 
 const (
@@ -66,6 +73,11 @@
 	// minHold is how long a lease is kept before it is handed over, so that a
 	// process which comes and goes does not move its workers each time.
 	minHold = 3 * time.Second
+	// secondHold is how long the second choice keeps a worker that it acquired
+	// because the preferred holder did not. The preferred holder may be unable to
+	// reach the worker, and each vain handover leaves it unused for
+	// fallbackInterval and more.
+	secondHold = 2 * time.Minute
 	// fallbackInterval is the pause between two tries of the second choice for a
 	// worker's lease. It finds a worker that its preferred holder cannot reach.
 	fallbackInterval = 10 * time.Second
@@ -114,6 +126,7 @@
 
 func (c *Core) chooseHolder(w *workerState, list []candidate) {
 	first, second := choose(list, w.vm.Name, w.vm.Domain)
+	w.asSecond = w.asSecond && first == w.preferred
 	w.preferred = first
 	isHeld := w.phase == leaseHeld || w.phase == leaseReleasing
 	switch {
@@ -175,7 +188,11 @@
 	if c.stopping {
 		return c.canReleaseOnStop()
 	}
-	return w.preferred != (api.EntryRef{}) && c.now.Sub(w.heldSince) >= minHold
+	hold := minHold
+	if w.asSecond {
+		hold = secondHold
+	}
+	return w.preferred != (api.EntryRef{}) && c.now.Sub(w.heldSince) >= hold
 }
 
 func (c *Core) tryAcquire(w *workerState) {
@@ -183,6 +200,7 @@
 		return
 	}
 	w.phase = leaseAcquiring
+	w.asSecond = w.preferred != c.cfg.Self
 	t := c.policy.timing
 	c.emit(AcquireLease{
 		Worker:    w.vm.Name,
@@ -300,12 +318,23 @@
 	c.pursueLeases()
 }
 
+// disownTasks tells the coordinators that their attempts on a worker have to be
+// asked for at its next holder, which may take long to come.
+func (c *Core) disownTasks(worker string) {
+	for _, t := range sortedAttempts(c.held.byWorker[worker], anyAttempt) {
+		if t.phase != heldEnded && t.spec.Coordinator != c.cfg.Self && c.isUp(t.spec.Coordinator) {
+			c.send(t.spec.Coordinator, message.AttemptState{Attempt: t.spec.Attempt, Status: message.AttemptNotHeld})
+		}
+	}
+}
+
 // dropHeld forgets a lease that has ended. Reservations are void; attempts of
 // this process on the worker have to be asked for at the next holder.
 func (c *Core) dropHeld(w *workerState) {
 	w.phase = leaseNone
 	c.workers.heldCount--
 	c.pool.Remove(w.vm.Name)
+	c.disownTasks(w.vm.Name)
 	c.held.dropWorker(w.vm.Name)
 	c.strandWorker(w.vm.Name, c.cfg.Self)
 }
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -34,6 +34,7 @@
 			c.pool.Adopt(c.now, w.vm.Name, r.Spec)
 		}
 		c.held.add(t)
+		c.closeHeld(t.spec.Attempt)
 		if t.phase == heldEnded {
 			c.send(t.spec.Coordinator, message.Ended{Report: r})
 		}
@@ -46,14 +47,17 @@
 func (c *Core) queryHeld(from api.EntryRef, m message.QueryAttempt) {
 	answer := message.AttemptState{Attempt: m.Attempt, Status: message.AttemptNotHeld}
 	w := c.workers.byName[m.Worker]
-	if w == nil || w.phase != leaseHeld {
+	if w == nil || w.phase != leaseHeld || w.isBefore(m.Boot, m.Epoch) {
 		c.send(from, answer)
 		return
 	}
 	t := c.held.tasks[m.Attempt]
 	switch {
 	case t != nil:
-		c.held.setCoordinator(t, from)
+		if m.Claim >= t.claim {
+			t.claim = m.Claim
+			c.held.setCoordinator(t, from)
+		}
 		if t.phase == heldEnded {
 			c.send(from, message.Ended{Report: *t.report})
 			return
@@ -76,6 +80,7 @@
 	if c.policy == nil {
 		return
 	}
+	c.closeOverInLog()
 	for _, ref := range slices.SortedFunc(maps.Keys(c.held.byCoordinator), compareRefs) {
 		if !c.isUp(ref) {
 			c.stopOrphansOf(ref)
@@ -98,6 +103,59 @@
 	}
 }
 
+// overScanSeconds is the number of seconds between two searches of all held attempts
+// for ones that the log tells are over. Most are found when their record is read
+// or their worker is taken over.
+const overScanSeconds = 10
+
+// closeOverInLog closes held attempts that are over in the log.
+func (c *Core) closeOverInLog() {
+	among := c.held.ended
+	if c.lastSecond.Unix()%overScanSeconds == 0 {
+		among = c.held.tasks
+	}
+	for _, t := range sortedAttempts(among, c.isOverInLog) {
+		c.stopOver(t)
+	}
+}
+
+// closeHeld closes an attempt that the log has just told to be over, if it is held
+// here.
+func (c *Core) closeHeld(id api.AttemptID) {
+	if t := c.held.tasks[id]; t != nil && t.phase != heldEnded && c.isOverInLog(t) {
+		c.stopOver(t)
+	}
+}
+
+// isOverInLog reports whether a logged attempt is over as the log tells it.
+func (c *Core) isOverInLog(t *heldTask) bool {
+	return t.spec.Kind.Logged() && c.isClosed(t.spec.Attempt)
+}
+
+// stopOver stops an attempt that still runs although the log tells that it is over,
+// as after a wrong report that its worker is gone. It forgets an ended one whose
+// coordinator is down and did not acknowledge it.
+func (c *Core) stopOver(t *heldTask) {
+	switch {
+	case t.phase != heldEnded:
+		c.stopHeld(t.spec.Attempt)
+	case !c.isUp(t.spec.Coordinator):
+		c.forgetHeld(t)
+	}
+}
+
+// isClosed reports whether the log holds the end of a logged attempt. Jobs that
+// are not known are not closed.
+func (c *Core) isClosed(id api.AttemptID) bool {
+	j := c.jobs.byID[id.Job]
+	if j == nil {
+		return false
+	}
+	t := j.taskAt(id.Task)
+	return t == nil || t.phase == taskDone || t.attempts > id.Number ||
+		t.phase == taskWaiting && t.attempts == id.Number
+}
+
 func (c *Core) stopOrphan(t *heldTask) {
 	switch {
 	case t.phase == heldEnded && c.now.Sub(t.endedAt) >= endedRetention:
@@ -114,20 +172,35 @@
 	}
 }
 
-// resendInterval is the pause before an unacknowledged end is sent again.
-const resendInterval = 2 * time.Second
+// The pause before an unacknowledged end is sent again doubles from resendInterval
+// to maxResendInterval: while the log is down, ends of logged attempts are not
+// acknowledged for long.
+const (
+	resendInterval    = 2 * time.Second
+	maxResendInterval = time.Minute
+)
 
 // resendEnded repeats ends that were not acknowledged. The message may have been
 // lost with a link.
 func (c *Core) resendEnded() {
 	overdue := func(t *heldTask) bool {
-		return c.now.Sub(t.endedAt) >= resendInterval && c.isUp(t.spec.Coordinator)
+		return c.isUp(t.spec.Coordinator) && !c.now.Before(t.nextResend())
 	}
 	for _, t := range sortedAttempts(c.held.ended, overdue) {
+		t.resends++
+		t.resent = c.now
 		c.send(t.spec.Coordinator, message.Ended{Report: *t.report})
 	}
 }
 
+func (t *heldTask) nextResend() time.Time {
+	last := t.endedAt
+	if t.resends > 0 {
+		last = t.resent
+	}
+	return last.Add(min(resendInterval<<min(t.resends, 8), maxResendInterval))
+}
+
 // resendEndedTo sends the ends that a coordinator with a new link may have missed.
 func (c *Core) resendEndedTo(ref api.EntryRef) {
 	missed := func(t *heldTask) bool { return t.spec.Coordinator == ref }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,7 @@
 	events  chan event
 	stopped chan struct{} // closed when the core reports Stopped
 	done    chan struct{} // closed when the control goroutine must end
+	logLost chan struct{} // has one signal when the log dropped unread records
 
 	tokens    atomic.Uint64
 	teams     atomic.Pointer[teamTokens]
@@ -91,6 +93,7 @@
 		events:   make(chan event, eventBacklog),
 		stopped:  make(chan struct{}),
 		done:     make(chan struct{}),
+		logLost:  make(chan struct{}, 1),
 	}
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -98,7 +101,12 @@
 	n.core = core.New(core.Config{Self: n.self, Domain: s.Domain, Seed: n.self.Incarnation})
 	n.readiness.Store(&operator.Readiness{Entry: s.Entry, Reasons: []string{reasonNoBundle}})
 	n.workers = newWorkerDriver(n)
-	n.mesh = peer.New(peer.Config{Self: n.self, Domain: s.Domain, Logger: log}, meshHandler{n})
+	peerTLS, err := dialConfig(s.Peer.TLS)
+	if err != nil {
+		n.listeners.close()
+		return nil, err
+	}
+	n.mesh = peer.New(peer.Config{Self: n.self, Domain: s.Domain, TLS: peerTLS, Logger: log}, meshHandler{n})
 	n.members = newMemberList(n)
 	n.openLog()
 	n.vmClient = vmlist.NewClient(s.VMList)
@@ -153,6 +161,14 @@
 	return tls.NewListener(listener, config), nil
 }
 
+// dialConfig returns how to dial peers: with the certificate of the peer listener.
+func dialConfig(t *settings.TLS) (*tls.Config, error) {
+	if t == nil {
+		return nil, nil
+	}
+	return t.ClientConfig()
+}
+
 func (l *listeners) close() {
 	for _, listener := range []net.Listener{l.caller, l.peer, l.operator} {
 		if listener != nil {
@@ -173,7 +189,9 @@
 
 // Run serves until ctx ends and then stops gracefully: no new work, leases handed
 // over, requests in progress finished, within the shutdown grace of the settings.
-// It returns an Unavailable fault if the grace was too short.
+// It returns an Unavailable fault if the grace was too short. It stops in the same
+// way with a LogDown fault when the log dropped records that were not read yet;
+// the process has to be started again then.
 func (n *Node) Run(ctx context.Context) error {
 	driverCtx, stopDrivers := context.WithCancel(context.Background())
 	defer stopDrivers()
@@ -181,8 +199,8 @@
 	control.Go(n.control)
 	n.startDrivers(driverCtx)
 	n.log.Info("started", zap.String("self", n.self.String()))
-	<-ctx.Done()
-	err := n.finish()
+	lost := n.awaitStop(ctx)
+	err := errors.Join(lost, n.finish())
 	stopDrivers()
 	n.stopServers()
 	n.drivers.Wait()
@@ -192,6 +210,17 @@
 	return err
 }
 
+// awaitStop returns when the process has to stop, with the fault that is the cause
+// or nil for a planned stop.
+func (n *Node) awaitStop(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-n.logLost:
+		return fault.New(fault.LogDown, "the log dropped records that this process had not read", "start the process again")
+	}
+}
+
 func (n *Node) startDrivers(ctx context.Context) {
 	n.workers.start(ctx)
 	n.drivers.Go(func() { n.logEnd("caller_listener", n.callers.Serve(n.listeners.caller)) })
@@ -210,13 +239,18 @@
 	}
 }
 
-// finish waits for the core to finish what is in progress.
+// finish waits for the core to finish what is in progress, and for the time in
+// which callers are told to use another process.
 func (n *Node) finish() error {
+	n.callers.Drain()
 	n.post(coreEvent{core.StopRequested{}})
+	notice := time.NewTimer(min(n.settings.ShutdownNotice(), n.settings.ShutdownGrace()))
+	defer notice.Stop()
 	grace := time.NewTimer(n.settings.ShutdownGrace())
 	defer grace.Stop()
 	select {
 	case <-n.stopped:
+		<-notice.C
 		return nil
 	case <-grace.C:
 		return fault.New(fault.Unavailable, "work was still in progress after the shutdown grace", "raise shutdown_grace_ms in the settings")
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -42,7 +42,8 @@
 	// Claim is 0 in the first copy. In a later one it is the offset of the
 	// record that made the writer the coordinator.
 	Claim uint64 `cbor:"2,keyasint,omitempty"`
-	// Tasks is the progress in a later copy, one entry per task.
+	// Tasks is the progress in a later copy, one entry per task. It is empty in
+	// the first copy only.
 	Tasks []TaskProgress `cbor:"3,keyasint,omitempty"`
 }
 
@@ -76,6 +77,8 @@
 	Retry   bool          `cbor:"3,keyasint,omitempty"`
 	// Body is the task's answer, up to MaxBodyBytes; longer answers are not kept.
 	Body []byte `cbor:"4,keyasint,omitempty"`
+	// OmittedBytes is the length of an answer that is not kept.
+	OmittedBytes int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // MaxBodyBytes bounds the answer of a task that is kept in the log.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -48,6 +48,7 @@
 	checkInt(&p, "limits.max_connections", s.Limits.MaxConnections, 1, maxConnections)
 	checkInt(&p, "limits.max_waiting", s.Limits.MaxWaiting, 1, maxWaiting)
 	checkInt(&p, "shutdown_grace_ms", s.ShutdownGraceMS, minGraceMS, maxGraceMS)
+	checkInt(&p, "shutdown_notice_ms", s.ShutdownNoticeMS, 1, s.ShutdownGraceMS)
 	if !slices.Contains(logLevels, s.LogLevel) {
 		p.Add("log_level", fmt.Sprintf("is %q", s.LogLevel), "use debug, info, warn or error")
 	}
@@ -163,6 +164,20 @@
 	return p
 }
 
+// ClientConfig reads the files and returns the TLS configuration for dialing
+// processes whose certificates are by the authorities of ClientCA, or an Invalid
+// error that names the wrong file.
+func (t *TLS) ClientConfig() (*tls.Config, error) {
+	config, err := t.Config()
+	if err != nil {
+		return nil, err
+	}
+	if config.ClientCAs == nil {
+		return nil, fault.New(fault.Invalid, "has no client_ca", "give the authority that signed the certificates of the entry processes")
+	}
+	return &tls.Config{MinVersion: config.MinVersion, Certificates: config.Certificates, RootCAs: config.ClientCAs}, nil
+}
+
 // Config reads the files and returns the TLS configuration of a listener, or an
 // Invalid error that names the wrong file.
 func (t *TLS) Config() (*tls.Config, error) {
