--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -25,9 +25,11 @@
 
 const (
 	measuredWorkers = 50
-	restLength      = 5 * time.Second
-	loadLength      = 4 * time.Second
-	loadSeed        = 5
+	// settleLength lets the processes that started first hand workers over.
+	settleLength = 6 * time.Second
+	restLength   = 5 * time.Second
+	loadLength   = 4 * time.Second
+	loadSeed     = 5
 	// clockTicks is the number of ticks a second in /proc/PID/stat on Linux.
 	clockTicks = 100
 )
@@ -215,6 +217,7 @@
 	for _, entries := range []int{3, 6, 9} {
 		c := startCellOf(t, entries, measuredWorkers)
 		label := fmt.Sprintf("%d processes, ", entries)
+		time.Sleep(settleLength)
 		before, began := c.usage(), time.Now()
 		time.Sleep(restLength)
 		c.report(label+"at rest: ", before, c.usage(), time.Since(began))
@@ -243,7 +246,7 @@
 	var held, cpu, written, read, resident []float64
 	for _, workers := range []int{30, 150, 300} {
 		c := startCellOf(t, 3, workers)
-		time.Sleep(2 * time.Second)
+		time.Sleep(settleLength)
 		before, began := c.usage(), time.Now()
 		time.Sleep(2 * restLength)
 		after, seconds := c.usage(), time.Since(began).Seconds()
