--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -190,14 +190,14 @@
 
 // startCellOf starts a cell of the enquiry desk's size, with entry processes in
 // three failure domains.
-func startCellOf(t *testing.T, entries, workers int) *cell {
+func startCellOf(t *testing.T, entries, workers int, b bundle.Bundle) *cell {
 	o := defaultOptions()
 	o.entries, o.workers, o.capacity, o.domains = entries, workers, enquiryShape, 3
 	c := newCell(t, o)
 	for i := range o.entries {
 		c.startEntry(entryName(i))
 	}
-	c.roll(measuredBundle())
+	c.roll(b)
 	c.awaitReady()
 	c.awaitHeld(o.workers)
 	for name := range c.entries {
@@ -215,7 +215,7 @@
 func TestMeasureProcesses(t *testing.T) {
 	measure.Start(t)
 	for _, entries := range []int{3, 6, 9} {
-		c := startCellOf(t, entries, measuredWorkers)
+		c := startCellOf(t, entries, measuredWorkers, measuredBundle())
 		label := fmt.Sprintf("%d processes, ", entries)
 		time.Sleep(settleLength)
 		before, began := c.usage(), time.Now()
@@ -243,9 +243,19 @@
 // number of workers of three processes.
 func TestMeasureRest(t *testing.T) {
 	measure.Start(t)
+	for _, renew := range []int64{1000, 5000} {
+		measureHeld(t, renew)
+	}
+}
+
+// measureHeld measures with a renewal every so many milliseconds and leases of
+// three times as long.
+func measureHeld(t *testing.T, renew int64) {
 	var held, cpu, written, read, resident []float64
 	for _, workers := range []int{30, 150, 300} {
-		c := startCellOf(t, 3, workers)
+		b := measuredBundle()
+		b.Timing.LeaseRenewMS, b.Timing.WorkerLeaseMS = renew, 3*renew
+		c := startCellOf(t, 3, workers, b)
 		time.Sleep(settleLength)
 		before, began := c.usage(), time.Now()
 		time.Sleep(2 * restLength)
@@ -255,21 +265,22 @@
 		written = append(written, (after.written-before.written)/seconds)
 		read = append(read, (after.read-before.read)/seconds)
 		resident = append(resident, after.resident)
-		c.report(fmt.Sprintf("3 processes, %d workers, at rest: ", workers), before, after, time.Since(began))
+		c.report(fmt.Sprintf("3 processes, %d workers, renewal %d ms, at rest: ", workers, renew), before, after, time.Since(began))
 		c.close()
 		c.entries = nil
 	}
-	measure.Figure(t, "per held worker: processor time", measure.Slope(held, cpu), "us/s")
-	measure.Figure(t, "per held worker: written", measure.Slope(held, written), "bytes/s")
-	measure.Figure(t, "per held worker: read", measure.Slope(held, read), "bytes/s")
-	measure.Figure(t, "per held worker: resident memory", measure.Slope(held, resident), "bytes")
+	label := fmt.Sprintf("per held worker, renewal %d ms: ", renew)
+	measure.Figure(t, label+"processor time", measure.Slope(held, cpu), "us/s")
+	measure.Figure(t, label+"written", measure.Slope(held, written), "bytes/s")
+	measure.Figure(t, label+"read", measure.Slope(held, read), "bytes/s")
+	measure.Figure(t, label+"resident memory", measure.Slope(held, resident), "bytes")
 }
 
 // TestMeasureRollTime measures the time from the append of a roll until it is in
 // force at nine processes.
 func TestMeasureRollTime(t *testing.T) {
 	measure.Start(t)
-	c := startCellOf(t, 9, measuredWorkers)
+	c := startCellOf(t, 9, measuredWorkers, measuredBundle())
 	var times []time.Duration
 	for i := range 20 {
 		b := measuredBundle()
