Measure entry processes with two processors each

A profile at rest showed two fifths of the time in the Go scheduler looking for work on ten processors; an entry VM is small.

--- a/test/cell_test.go
+++ b/test/cell_test.go
@@ -75,6 +75,8 @@
 	entries  map[string]*entry
 	version  uint64
 	domains  int // of the entry processes; 0 for one each
+	// processors bounds those of an entry process; 0 for all of the machine.
+	processors int
 	// measuring are the callers of measurements, by entry process.
 	measuring map[string]*caller.Client
 }
@@ -100,6 +102,8 @@
 	log      standin.LogConfig
 	bundle   bundle.Bundle
 	domains  int // of the entry processes; 0 for one each
+	// processors bounds those of an entry process; 0 for all of the machine.
+	processors int
 }
 
 func defaultOptions() cellOptions {
@@ -139,7 +143,7 @@
 	assert.NilError(t, err)
 	c := &cell{t: t, dir: t.TempDir(), platform: platform,
 		keys: make(map[string]ed25519.PrivateKey), entries: make(map[string]*entry),
-		domains: o.domains, measuring: make(map[string]*caller.Client)}
+		domains: o.domains, processors: o.processors, measuring: make(map[string]*caller.Client)}
 	t.Cleanup(c.close)
 	for _, name := range []string{signer, otherSigner} {
 		_, c.keys[name], err = ed25519.GenerateKey(nil)
@@ -181,6 +185,9 @@
 	e.log = startProxy(c.t, c.platform.Addresses().Log)
 	e.log.set(logLink)
 	e.command = exec.Command(filepath.Join(binaries, "fulmarlatchd"), "--config", c.writeSettings(e))
+	if c.processors > 0 {
+		e.command.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", c.processors))
+	}
 	logFile, err := os.Create(filepath.Join(c.dir, fmt.Sprintf("%s-%d.log", name, time.Now().UnixNano())))
 	assert.NilError(c.t, err)
 	e.command.Stderr = logFile
--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -30,6 +30,9 @@
 	restLength   = 5 * time.Second
 	loadLength   = 4 * time.Second
 	loadSeed     = 5
+	// entryProcessors is the size of a small entry VM. With all processors of a
+	// large machine the Go runtime spends more on looking for work at rest.
+	entryProcessors = 2
 	// clockTicks is the number of ticks a second in /proc/PID/stat on Linux.
 	clockTicks = 100
 )
@@ -193,6 +196,7 @@
 func startCellOf(t *testing.T, entries, workers int, b bundle.Bundle) *cell {
 	o := defaultOptions()
 	o.entries, o.workers, o.capacity, o.domains = entries, workers, enquiryShape, 3
+	o.processors = entryProcessors
 	c := newCell(t, o)
 	for i := range o.entries {
 		c.startEntry(entryName(i))
