--- a/test/cell_test.go
+++ b/test/cell_test.go
@@ -209,15 +209,6 @@
 	return e
 }
 
-// domainOf returns the failure domain of an entry process.
-func (c *cell) domainOf(name string) string {
-	number := int(name[len(name)-1] - '0')
-	if c.domains > 0 {
-		number %= c.domains
-	}
-	return string(rune('a' + number))
-}
-
 func (c *cell) writeSettings(e *entry) string {
 	operators := make(map[string]string)
 	for name, key := range c.publicKeys() {
--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -40,6 +40,15 @@
 // enquiryShape is the worker of the enquiry desk.
 var enquiryShape = api.Resources{CPUMilli: 16000, MemoryMB: 32000, Slots: 8, Connections: 60}
 
+// domainOf returns the failure domain of an entry process.
+func (c *cell) domainOf(name string) string {
+	number := int(name[len(name)-1] - '0')
+	if c.domains > 0 {
+		number %= c.domains
+	}
+	return string(rune('a' + number))
+}
+
 // usage sums what all entry processes have used.
 type usage struct {
 	cpu                        time.Duration
