Close attempts of jobs that nobody knows any more; extend the random test

Cause: an attempt whose coordinator is dead and whose job has ended and is forgotten everywhere, its records expired in the log, stayed at the worker for good, or ran on. Ruled out: a lagging tail, by waiting 10 minutes with the log up and caught up. The random test now also lets workers leave, vanish, fail and be unreachable from one process, rolls bundles without a class or team or with a quota, stops processes gracefully, runs services, cancels logged jobs, withdraws callers, drops old records of the log, and lets the tail lag after a pause; at the end it checks that nothing is left over in any table.

--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -18,6 +18,7 @@
 const (
 	fakeLease    = 3 * time.Second
 	fakePeerDown = 3 * time.Second
+	leavingBound = 3 * time.Second
 )
 
 // fakeTask is an attempt at a fake worker.
@@ -37,6 +38,8 @@
 	expires time.Time
 	tasks   map[api.AttemptID]*fakeTask
 	down    bool
+	fails   bool // every task that ends
+	leaving time.Time
 }
 
 // fakeProcess is one core with its pending events.
@@ -104,6 +107,8 @@
 		starts:  make(map[api.AttemptID]int),
 		ran:     make(map[string]int),
 		cut:     make(map[[2]string]bool),
+
+		unreachable: make(map[[2]string]bool),
 	}
 	for i := range workers {
 		name := fmt.Sprintf("w%02d", i)
@@ -374,6 +379,9 @@
 		return
 	}
 	cell.checkStart(a.Spec)
+	if w.vm.Leaving && cell.now.Sub(w.leaving) > leavingBound {
+		cell.problem("task %s starts on the leaving worker %s", id, a.Worker)
+	}
 	run := time.Duration(a.Spec.RunTimeMS) * time.Millisecond
 	w.tasks[id] = &fakeTask{spec: a.Spec, endsAt: cell.now.Add(run)}
 	p.inbox = append(p.inbox, TaskStarted{Worker: a.Worker, Epoch: a.Epoch, Attempt: id})
@@ -441,6 +449,9 @@
 		w := cell.workers[name]
 		for _, t := range sortedAttempts(w.tasks, anyAttempt) {
 			if !w.down && !t.ended && t.spec.Kind != api.KindService && !cell.now.Before(t.endsAt) {
+				if w.fails {
+					t.err = "exit 1"
+				}
 				cell.endTask(w, t)
 			}
 		}
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -87,16 +87,23 @@
 			c.members.downSince[t.spec.Coordinator] = c.now
 			continue
 		}
-		if c.now.Sub(since) < c.policy.timing.orphanGrace {
-			continue
+		down := c.now.Sub(since)
+		switch {
+		case t.spec.Kind.Logged() && down >= endedRetention:
+			c.stopOver(t)
+		case !t.spec.Kind.Logged() && down >= c.policy.timing.orphanGrace:
+			c.stopOrphan(t)
 		}
-		c.stopOrphan(t)
 	}
 }
 
-// isOrphan reports whether the coordinator of an unlogged attempt is down.
+// isOrphan reports whether the coordinator of an attempt is down and no process
+// will ask for it: it is unlogged, or the log no longer has its job, which is over.
 func (c *Core) isOrphan(t *heldTask) bool {
-	return !t.spec.Kind.Logged() && !c.isUp(t.spec.Coordinator)
+	if c.isUp(t.spec.Coordinator) {
+		return false
+	}
+	return !t.spec.Kind.Logged() || c.logUp && c.caughtUp && c.jobs.byID[t.spec.Attempt.Job] == nil
 }
 
 // isOverInLog reports whether a logged attempt is over as the log tells it.
--- a/internal/core/orphans_test.go
+++ b/internal/core/orphans_test.go
@@ -72,6 +72,20 @@
 	assert.DeepEqual(t, stopped, []api.AttemptID{runs})
 }
 
+// TestJobForgottenEverywhere guards against attempts of a logged job that stay at
+// a worker when no process and no record knows the job any more.
+func TestJobForgottenEverywhere(t *testing.T) {
+	dead := api.EntryRef{Name: "e2", Incarnation: 1}
+	l := newLone(runningAt(attemptID("e2.1.1", 1), dead))
+	stops := 0
+	for _, action := range l.ticks(660) {
+		if _, ok := action.(ControlTask); ok {
+			stops++
+		}
+	}
+	assert.Equal(t, stops, 1)
+}
+
 // TestGivenUpBeforeStart guards against a process that takes a start record which
 // does not count for a start, and so never sees the end of a cancelled job.
 func TestGivenUpBeforeStart(t *testing.T) {
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -19,14 +19,19 @@
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		cell := newFakeCell(3, rapid.IntRange(1, 5).Draw(rt, "workers"))
+		cell.limitLog(400)
 		cell.advance(2 * time.Second)
 		f := &faultDriver{cell: cell, rt: rt, asked: make(map[string][]uint64), incarnation: 1}
 		for range rapid.IntRange(5, 40).Draw(rt, "moves") {
 			f.move()
-			cell.advance(time.Duration(rapid.IntRange(1, 40).Draw(rt, "steps")) * TickInterval)
+			f.advance(time.Duration(rapid.IntRange(1, 40).Draw(rt, "steps")) * TickInterval)
 		}
 		f.heal()
-		cell.advance(3 * time.Minute)
+		f.advance(20 * time.Second)
+		f.cancelServices()
+		f.advance(20 * time.Second)
+		f.cancelServices()
+		f.advance(4 * time.Minute)
 		assert.Equal(rt, len(cell.problems), 0, "%v", cell.problems)
 		f.checkAnswered()
 	})
@@ -50,18 +55,32 @@
 	cell, rt := f.cell, f.rt
 	name := f.process()
 	p := cell.procs[name]
-	switch rapid.IntRange(0, 15).Draw(rt, "move") {
+	switch rapid.IntRange(0, 24).Draw(rt, "move") {
 	case 0:
 		if p.alive {
 			cell.kill(name)
 		}
+	case 9:
+		f.stop(p)
+	case 10:
+		f.changeWorker(f.worker())
+	case 11:
+		f.changeBundle()
+	case 12:
+		w := cell.workers[f.worker()]
+		w.fails = !w.fails
+	case 13:
+		pair := [2]string{name, f.worker()}
+		cell.unreachable[pair] = !cell.unreachable[pair]
+	case 14:
+		f.loseCaller(p)
 	case 1:
 		if !p.alive {
 			f.incarnation++
 			cell.start(name, f.incarnation)
 		}
 	case 2:
-		p.paused = !p.paused
+		f.pauseOrResume(name)
 	case 3:
 		pair := [2]string{name, f.process()}
 		cell.cut[pair] = !cell.cut[pair]
@@ -87,10 +106,10 @@
 
 func (f *faultDriver) submit(name string) {
 	p := f.cell.procs[name]
-	if !p.running() {
+	if !p.running() || p.stopped {
 		return
 	}
-	kind := rapid.SampledFrom([]api.Kind{api.KindRequest, api.KindRequest, api.KindBatch, api.KindGang}).Draw(f.rt, "kind")
+	kind := rapid.SampledFrom([]api.Kind{api.KindRequest, api.KindRequest, api.KindBatch, api.KindGang, api.KindService}).Draw(f.rt, "kind")
 	job := batch(kind, 1, time.Duration(rapid.IntRange(0, 8000).Draw(f.rt, "run_ms"))*time.Millisecond)
 	job.Idempotent = rapid.Bool().Draw(f.rt, "idempotent")
 	if kind != api.KindRequest {
@@ -124,11 +143,12 @@
 }
 
 func (f *faultDriver) cancel(name string) {
-	if len(f.ids) == 0 || !f.cell.procs[name].running() {
+	ids := append(f.cell.acceptedIDs(""), f.ids...)
+	if len(ids) == 0 || !f.cell.procs[name].running() {
 		return
 	}
 	f.token++
-	id := rapid.SampledFrom(f.ids).Draw(f.rt, "cancelled")
+	id := rapid.SampledFrom(ids).Draw(f.rt, "cancelled")
 	f.cell.ask(name, f.token, message.OpCancel, api.Job{ID: id, Team: "a"})
 }
 
@@ -137,9 +157,14 @@
 	f.cell.logUp = true
 	f.cell.loseAcks = false
 	clear(f.cell.cut)
-	for _, w := range f.cell.workers {
-		w.down = false
+	clear(f.cell.unreachable)
+	for _, name := range sortedKeys(f.cell.workers) {
+		w := f.cell.workers[name]
+		w.down, w.fails = false, false
+		w.vm.Gone, w.vm.Leaving = false, false
+		f.cell.listVM(w.vm)
 	}
+	f.cell.putInForce(testBundle())
 	for _, name := range sortedKeys(f.cell.procs) {
 		p := f.cell.procs[name]
 		p.paused = false
@@ -149,16 +174,3 @@
 		}
 	}
 }
-
-// checkAnswered guards against callers that are never answered.
-func (f *faultDriver) checkAnswered() {
-	for _, p := range f.cell.sorted() {
-		for _, token := range f.asked[p.ref.String()] {
-			_, ok := f.cell.answers[p.ref.Name][token]
-			assert.Assert(f.rt, ok, "token %d of %s has no answer", token, p.ref)
-		}
-		assert.Equal(f.rt, len(p.core.jobs.byOwner), 0, "unfinished logged jobs at %s", p.ref)
-		assert.Equal(f.rt, len(p.core.tries.byID), 0, "unfinished attempts at %s", p.ref)
-		assert.Equal(f.rt, len(p.core.tries.teamUse), 0, "use left at %s", p.ref)
-	}
-}
