Adopt jobs that the preferred adopter does not know; copy pending ends

Cause: (1) only the preferred process adopted a job. One that started after the log had dropped the job's records does not know it, so nobody adopted it. (2) A copy of a job named a task as started although its end record stood before the copy and was only not read yet. A process that started between the two waited for the end for ever and, as the adopter, would have asked for the attempt. Ruled out: the holder's orphan handling, which leaves known jobs alone. Now the second choice adopts after 15 s and all others after 30 s; the first record by offset wins as before. Copies tell pending ends. Before: an unfinished job in the random test, TestSecondChoiceAdopts without adoption.

--- a/internal/core/adopt.go
+++ b/internal/core/adopt.go
@@ -25,8 +25,7 @@
 		jobs := c.jobs.byOwner[owner]
 		for _, id := range sortedKeys(jobs) {
 			j := jobs[id]
-			first, _ := choose(list, j.spec.ID, "")
-			if first == c.cfg.Self && c.now.Sub(j.adoptTried) >= adoptInterval {
+			if c.mayAdopt(j, list) && c.now.Sub(j.adoptTried) >= adoptInterval {
 				j.adoptTried = c.now
 				c.append(record.Record{Adopt: &record.Adopt{JobID: j.spec.ID, Replaces: j.claim}})
 			}
@@ -34,8 +33,30 @@
 	}
 }
 
-// adoptInterval is the pause before an adoption is tried again.
-const adoptInterval = 5 * time.Second
+const (
+	// adoptInterval is the pause before an adoption is tried again.
+	adoptInterval = 5 * time.Second
+	// adoptPatience is how long the second choice waits for the preferred adopter,
+	// which may not reach the log, or may have started after the log dropped the
+	// job's records. All others wait for twice as long.
+	adoptPatience = 15 * time.Second
+)
+
+// mayAdopt reports whether it is this process's turn to adopt the job.
+func (c *Core) mayAdopt(j *job, list []candidate) bool {
+	if j.adoptable.IsZero() {
+		j.adoptable = c.now
+	}
+	waited := c.now.Sub(j.adoptable)
+	first, second := choose(list, j.spec.ID, "")
+	switch c.cfg.Self {
+	case first:
+		return true
+	case second:
+		return waited >= adoptPatience
+	}
+	return waited >= 2*adoptPatience
+}
 
 // isAdoptable reports whether a coordinator's jobs may be taken over.
 func (c *Core) isAdoptable(owner api.EntryRef) bool {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -79,6 +79,7 @@
 	refreshed time.Time
 	// adoptTried is when this process last tried to adopt the job.
 	adoptTried time.Time
+	adoptable  time.Time // since when the coordinator is gone, zero if it is not
 }
 
 func newJob(spec api.Job, owner api.EntryRef, now time.Time) *job {
@@ -139,6 +140,7 @@
 func (t *jobTable) setOwner(j *job, owner api.EntryRef, claim uint64) {
 	t.dropOwner(j)
 	j.owner, j.claim = owner, claim
+	j.adoptable = time.Time{}
 	of := t.byOwner[owner]
 	if of == nil {
 		of = make(map[string]*job)
--- a/internal/core/log_test.go
+++ b/internal/core/log_test.go
@@ -100,3 +100,23 @@
 	read(record.Record{Accept: &record.Accept{Job: job, Tasks: progress}})
 	assert.Equal(t, l.core.jobs.byID[job.ID].open, 1)
 }
+
+// TestCopyTellsPendingEnd guards against a copy of a job that sets a task back for
+// processes that start later: its end stands before the copy and was not read yet
+// when the copy was made.
+func TestCopyTellsPendingEnd(t *testing.T) {
+	cell := newFakeCell(1, 1)
+	cell.limitLog(400)
+	cell.advance(2 * time.Second)
+	cell.ask("e0", 1, message.OpSubmit, onceEach(1, time.Second))
+	cell.advance(time.Second)
+	c := cell.procs["e0"].core
+	for len(c.tries.byID) == 0 || c.tries.byID[sortedAttempts(c.tries.byID, anyAttempt)[0].id].phase != attemptClosing {
+		cell.step()
+	}
+	for _, j := range c.jobs.byOwner[c.cfg.Self] {
+		progress := c.taskProgress(j)[0]
+		assert.Equal(t, progress.Outcome, api.OutcomeCompleted)
+		assert.Assert(t, !progress.Started)
+	}
+}
--- a/internal/core/orphans_test.go
+++ b/internal/core/orphans_test.go
@@ -86,6 +86,24 @@
 	assert.Equal(t, stops, 1)
 }
 
+// TestSecondChoiceAdopts guards against a job that nobody adopts because the
+// preferred adopter does not know it.
+func TestSecondChoiceAdopts(t *testing.T) {
+	for i := range 8 {
+		l := &logReader{lone: newLone(), writer: api.EntryRef{Name: "e2", Incarnation: 1}}
+		job := onceEach(1, time.Second)
+		job.ID = api.NewJobID(l.writer, uint64(i))
+		l.read(record.Record{Accept: &record.Accept{Job: job}})
+		adoptions := 0
+		for _, action := range l.ticks(45) {
+			if a, ok := action.(Append); ok && a.Records[0].Adopt != nil {
+				adoptions++
+			}
+		}
+		assert.Assert(t, adoptions > 0, job.ID)
+	}
+}
+
 // TestGivenUpBeforeStart guards against a process that takes a start record which
 // does not count for a start, and so never sees the end of a cancelled job.
 func TestGivenUpBeforeStart(t *testing.T) {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -281,7 +281,7 @@
 			continue
 		}
 		j.refreshed = c.now
-		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: j.taskProgress()}})
+		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: c.taskProgress(j)}})
 	}
 }
 
@@ -291,10 +291,19 @@
 	return time.Duration(rendezvousScore(j.spec.ID, "") % uint64(c.cfg.RefreshInterval/4+1))
 }
 
-func (j *job) taskProgress() []record.TaskProgress {
+// taskProgress returns the state of the tasks as the records of this process tell
+// it that stand before the next one, those that were not read yet included: a
+// process that starts later may read the copy and not the records before.
+func (c *Core) taskProgress(j *job) []record.TaskProgress {
 	list := make([]record.TaskProgress, len(j.tasks))
 	for i, t := range j.tasks {
 		list[i] = record.TaskProgress{Attempts: t.attempts, Outcome: t.outcome}
+		if a := c.tries.byTask[taskRef{j.spec.ID, i}]; a != nil && a.phase == attemptClosing {
+			if !a.end.Retry {
+				list[i].Outcome = a.end.Outcome
+			}
+			continue
+		}
 		if t.phase == taskActive {
 			list[i].Started = true
 			list[i].Worker, list[i].Epoch, list[i].Boot = t.place.worker, t.place.epoch, t.place.boot
