Close a job whose first copy that is read tells all tasks done

Cause: a process that started after the end records were dropped read the later copy of a finished job and kept it open for good. Before: an unfinished job in the random test.

--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -125,6 +125,7 @@
 	c.jobs.setOwner(j, writer, claimOffset)
 	c.openParked(j)
 	c.answerAccepted(j)
+	c.closeIfDone(j)
 }
 
 // answerAccepted tells the callers who submitted the job that it is in the log.
@@ -147,6 +148,7 @@
 		c.changeOwner(j, writer, claimOffset)
 	}
 	j.refreshed = c.now
+	c.closeIfDone(j)
 }
 
 // applyProgress sets the tasks of a job from a later copy of its accept record.
