Start no refresh of the roll while the process ends

Cause: the control goroutine could add the append of a refresh to the drivers' conc.WaitGroup while or after Run waits for it: the append then outlived the clients, and an Add during Wait is a race. Ruled out: worker sessions, since a stopping core asks for no lease. Not covered by a test: it needs a refresh that falls due in the last milliseconds; checked by reading and by building.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,6 +190,7 @@
 	err := errors.Join(lost, n.finish())
 	stopDrivers()
 	n.stopServers()
+	n.stopRefreshes()
 	n.drivers.Wait()
 	close(n.done)
 	control.Wait()
--- a/internal/node/rolls.go
+++ b/internal/node/rolls.go
@@ -26,6 +26,8 @@
 	caughtUp bool
 	// refreshing is true while a refresh is being appended.
 	refreshing bool
+	// closed is true when the process ends and no refresh may begin.
+	closed bool
 }
 
 // rollReader passes the records of stream rolls to the chain.
@@ -141,7 +143,7 @@
 	if !n.chain.Settled() {
 		age = retention / 2
 	}
-	if n.rolls.refreshing || n.rolls.written.IsZero() || time.Since(n.rolls.written) < age {
+	if n.rolls.closed || n.rolls.refreshing || n.rolls.written.IsZero() || time.Since(n.rolls.written) < age {
 		return
 	}
 	records := n.chain.Refresh()
@@ -152,6 +154,17 @@
 	n.drivers.Go(func() { n.appendRefresh(records) })
 }
 
+// stopRefreshes returns when the control goroutine starts no further refresh, so
+// that nothing is added to the drivers while they are waited for.
+func (n *Node) stopRefreshes() {
+	stopped := make(chan struct{})
+	n.post(call(func(n *Node) {
+		n.rolls.closed = true
+		close(stopped)
+	}))
+	<-stopped
+}
+
 func (n *Node) appendRefresh(records [][]byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), platformlog.CallBound)
 	defer cancel()
