Do not pass off missing results as empty answers

Cause: the later copy of a job tells which tasks are done, not their answers. A process that reads no older record answered with empty results. Now such a job ends with an error that its answers are no longer kept. Before: TestResultsOnlyInOldRecords, completed without an error.

--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -39,6 +39,8 @@
 	// body and omitted are the answer of a done task of a logged job.
 	body    []byte
 	omitted int64
+	// dropped is true for a done task of which only the progress is known.
+	dropped bool
 }
 
 // placeRef names a worker under one epoch and boot.
--- a/internal/core/log_test.go
+++ b/internal/core/log_test.go
@@ -120,3 +120,20 @@
 		assert.Assert(t, !progress.Started)
 	}
 }
+
+// TestResultsOnlyInOldRecords guards against an empty answer that passes for the
+// whole one: the copy of a job tells that a task is done, but not its answer.
+func TestResultsOnlyInOldRecords(t *testing.T) {
+	l := &logReader{lone: newLone(), writer: peerRef}
+	l.core.caughtUp = false
+	job := onceEach(2, time.Second)
+	job.ID = "e1.1.1"
+	progress := []record.TaskProgress{{Attempts: 1, Outcome: api.OutcomeCompleted}, {}}
+	l.read(record.Record{Accept: &record.Accept{Job: job, Claim: 7, Tasks: progress}})
+	id := api.AttemptID{Job: job.ID, Task: 1, Number: 1}
+	l.read(record.Record{Start: &record.Start{Attempt: id, Worker: "w00", Epoch: 5, Boot: 2}})
+	l.read(record.Record{End: &record.End{Attempt: id, Outcome: api.OutcomeCompleted, Body: []byte("x")}})
+	final := l.core.jobs.byID[job.ID].final
+	assert.Equal(t, final.Outcome, api.OutcomeCompleted)
+	assert.Assert(t, final.Error != nil, "%v", final.Results)
+}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -163,6 +163,7 @@
 		switch {
 		case p.Outcome != "":
 			t.phase = taskDone
+			t.dropped = true
 		case p.Started:
 			t.phase = taskActive
 		}
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
@@ -190,9 +191,18 @@
 		answer.Outcome = api.OutcomeFailed
 		answer.Error = fault.New(fault.TaskFailed, fmt.Sprintf("%d of %d tasks failed", counts.Failed, len(j.tasks)), "see the upstream's logs")
 	}
+	if answer.Error == nil && j.hasDropped() {
+		answer.Results = nil
+		answer.Error = errAnswerDropped(j.spec.ID)
+	}
 	c.finishJob(j, answer)
 }
 
+// hasDropped reports whether the answers of some tasks are not known here.
+func (j *job) hasDropped() bool {
+	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.dropped })
+}
+
 // refuseWaiting ends a task that waits in the queue and will not run.
 func (c *Core) refuseWaiting(it queue.Item, reason *fault.Error) {
 	j := c.jobs.byID[it.Key.JobID]
