Hold workers for own requests when a stop leaves nobody else

Cause: a stopping process released its workers while another process was live. When that one then paused, died or stopped too, nobody held the workers: the requests in progress were cut off or waited, and the stop hung. Ruled out: the check at the release, which cannot know what comes after it. Now a stopping process that has requests in progress and no live peer asks for leases again, and releases them when the requests end or a peer comes. Before: TestStopEnds, no answer with a paused peer, a dead peer and all stopping together. After: all answered and stopped, also alone and with the log down.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,6 +46,7 @@
 	policy   *policy
 	stopping bool
 	stopped  bool
+	alone    bool // stopping, and holds workers for its own requests
 	logUp    bool
 	caughtUp bool
 	lostLog  bool // the log dropped records that this process has not read
@@ -201,6 +202,7 @@
 	c.expireQueue()
 	c.expireReservations()
 	c.timeOutReserving()
+	c.reviewAlone()
 	c.pursueLeases()
 	c.tries.failures = 0
 	if c.now.Sub(c.lastSecond) < time.Second {
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -215,7 +215,7 @@
 		return false
 	}
 	if c.stopping {
-		return c.canReleaseOnStop()
+		return true
 	}
 	hold := minHold
 	if w.asSecond {
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -117,10 +117,10 @@
 }
 
 // candidates returns the live entry processes, this one included unless it is
-// stopping, sorted by name.
+// stopping and another one is live, sorted by name.
 func (c *Core) candidates() []candidate {
 	var list []candidate
-	if !c.stopping {
+	if !c.stopping || c.alone {
 		list = append(list, candidate{ref: c.cfg.Self, domain: c.cfg.Domain})
 	}
 	for _, p := range c.livePeers() {
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -9,15 +9,25 @@
 		return
 	}
 	c.stopping = true
+	c.alone = c.mustServeAlone()
 	c.logEvent("stopping")
 	c.chooseHolders()
 	c.pursueLeases()
 }
 
-// canReleaseOnStop reports whether a stopping process may release its workers.
-// Without another process to take them, its own requests still need them.
-func (c *Core) canReleaseOnStop() bool {
-	return len(c.livePeers()) > 0 || !c.hasOpenRequests()
+// mustServeAlone reports whether this process is stopping, has requests in progress
+// and no other process takes its workers. It then holds workers until they end.
+func (c *Core) mustServeAlone() bool {
+	return c.stopping && len(c.livePeers()) == 0 && c.hasOpenRequests()
+}
+
+// reviewAlone chooses holders again when the last live peer goes or one comes, or
+// the last request ends, during a shutdown.
+func (c *Core) reviewAlone() {
+	if alone := c.mustServeAlone(); alone != c.alone {
+		c.alone = alone
+		c.chooseHolders()
+	}
 }
 
 // hasOpenRequests reports whether this process coordinates unfinished requests.
