Keep the deadline of a job that another process adopts

Cause: only the process that took the submission knew the deadline; after an adoption tasks started at any later time. Before: TestDeadlineAfterAdoption, 12 of 12 tasks ran. After: the rest is cancelled.

--- a/internal/core/orphans_test.go
+++ b/internal/core/orphans_test.go
@@ -168,3 +168,18 @@
 	}
 	assert.Equal(t, cancels, 1)
 }
+
+// TestDeadlineAfterAdoption guards against tasks that start after their deadline
+// because the process that adopted the job does not know it.
+func TestDeadlineAfterAdoption(t *testing.T) {
+	cell := warmCell(t, 2, 1)
+	job := batch(api.KindBatch, 12, 4*time.Second)
+	job.DeadlineMS = 9000
+	cell.ask("e0", 1, message.OpSubmit, job)
+	cell.advance(time.Second)
+	cell.kill("e0")
+	cell.advance(time.Minute)
+	id := cell.answer("e0", 1).JobID
+	assert.Assert(t, cell.ran[id] < 12, "%d tasks ran", cell.ran[id])
+	assert.Assert(t, cell.procs["e1"].core.jobs.byID[id].final != nil)
+}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -117,6 +117,10 @@
 	}
 	if j == nil {
 		j = newJob(m.Job, writer, c.now)
+		if m.Job.DeadlineMS > 0 {
+			// Counted from the reading, which is later than the submission.
+			j.deadline = c.now.Add(m.Job.Deadline())
+		}
 		j.keep = true
 		c.jobs.byID[m.Job.ID] = j
 		j.applyProgress(m.Tasks)
