Answer requests that arrive when a stop is complete

Cause: a request under an id of another process was forwarded after Stopped, and nothing waits for its answer any more. Before: token without an answer (random test).

--- a/internal/core/identity.go
+++ b/internal/core/identity.go
@@ -91,6 +91,11 @@
 // callerRequest handles an operation of a caller at this process.
 func (c *Core) callerRequest(e CallerRequest) {
 	w := waiter{token: e.Token, from: c.cfg.Self}
+	if c.stopped {
+		// Nothing would wait for the answer of another process.
+		c.reply(w, api.RefuseSubmission(e.Job, errStopped()))
+		return
+	}
 	c.operate(w, e.Operation, e.Job)
 }
 
@@ -305,6 +310,10 @@
 	return api.Answer{JobID: id, Outcome: api.OutcomeUnknown, Error: err}
 }
 
+func errStopped() *fault.Error {
+	return fault.New(fault.NotReady, "the entry process has stopped", "use another entry process")
+}
+
 func errNotFound(id string) *fault.Error {
 	return fault.New(fault.NotFound, fmt.Sprintf("job %q is not known here", id), "check the id and the team")
 }
--- a/internal/core/stop_test.go
+++ b/internal/core/stop_test.go
@@ -54,3 +54,18 @@
 		cell.procs[name].inbox = append(cell.procs[name].inbox, StopRequested{})
 	}
 }
+
+// TestRequestAfterStop guards against a request that arrives when the stop is
+// complete and is forwarded to a process whose answer nobody waits for.
+func TestRequestAfterStop(t *testing.T) {
+	cell := warmCell(t, 2, 2)
+	job := request(time.Second)
+	job.ID = cell.mint(t, "e1")
+	cell.stopAll("e0")
+	for !cell.procs["e0"].stopped {
+		cell.step()
+	}
+	cell.ask("e0", 1, message.OpSubmit, job)
+	cell.step()
+	assert.Equal(t, cell.answer("e0", 1).Outcome, api.OutcomeUnknown)
+}
