Answer the callers of logged jobs before a stop ends

Cause: the stop counted requests only. The caller of a batch whose accept record was not read, as with the log down, was never answered, and neither was one that waited for a logged job. Now the stop waits for such records while the log is up, and answers all that still wait: unknown without a record, else the progress. Before: TestStopEnds without an answer with the log down (random test).

--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -51,16 +51,37 @@
 	if c.hasUnfinishedAttempts() {
 		return
 	}
+	c.answerRest()
 	c.stopped = true
 	c.emit(Stopped{})
 }
 
-// hasUnfinishedAttempts reports whether logged attempts wait for their records.
-// They are left to the adopter when the log does not answer.
+// answerRest answers the callers that wait for logged jobs. Whether a record that
+// was not read yet is in the log cannot be told.
+func (c *Core) answerRest() {
+	for _, id := range sortedKeys(c.jobs.byID) {
+		j := c.jobs.byID[id]
+		answer := j.progress()
+		if j.phase == phaseLogging {
+			answer = errorAnswer(id, errStopped())
+		}
+		waiters := j.waiters
+		j.waiters = nil
+		for _, w := range waiters {
+			c.reply(w, answer)
+		}
+	}
+}
+
+// hasUnfinishedAttempts reports whether jobs or logged attempts wait for their
+// records. They are left to the adopter when the log does not answer.
 func (c *Core) hasUnfinishedAttempts() bool {
-	if !c.logUp {
+	if !c.logUp || c.lostLog {
 		return false
 	}
+	if len(c.jobs.logging) > 0 {
+		return true
+	}
 	for _, a := range c.tries.byID {
 		if a.phase == attemptLogging || a.phase == attemptClosing {
 			return true
--- a/internal/core/stop_test.go
+++ b/internal/core/stop_test.go
@@ -38,12 +38,15 @@
 			keyed.Key = "stop"
 			c.before(cell)
 			cell.ask("e0", 52, message.OpSubmit, keyed)
+			cell.ask("e0", 53, message.OpSubmit, batch(api.KindBatch, 1, time.Second))
 			cell.stopAll("e0")
 			cell.advance(40 * time.Second)
 			for i := range 12 {
 				assert.Assert(t, cell.answer("e0", uint64(i)).Outcome != "", "request %d", i)
 			}
-			assert.Assert(t, cell.answer("e0", 52).Outcome != "")
+			for token := uint64(50); token <= 53; token++ {
+				assert.Assert(t, cell.answer("e0", token).Outcome != "", "token %d", token)
+			}
 			assert.Assert(t, cell.procs["e0"].stopped)
 		})
 	}
