--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -162,6 +162,8 @@
 	switch m := m.(type) {
 	case message.Summary:
 		c.peerSummary(from, m)
+	case message.TeamUse:
+		c.peerUse(from, m)
 	case message.Reserve:
 		c.reserve(from, m)
 	case message.Release:
@@ -217,6 +219,7 @@
 	c.adoptJobs()
 	c.refreshJobs()
 	c.forgetFinished()
+	c.shareTeamUse()
 	c.updateUseElsewhere()
 }
 
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -108,13 +108,15 @@
 // or their worker is taken over.
 const overScanSeconds = 10
 
-// closeOverInLog closes held attempts that are over in the log.
+// closeOverInLog closes held attempts that are over in the log, or whose job is
+// forgotten everywhere.
 func (c *Core) closeOverInLog() {
 	among := c.held.ended
 	if c.lastSecond.Unix()%overScanSeconds == 0 {
 		among = c.held.tasks
 	}
-	for _, t := range sortedAttempts(among, c.isOverInLog) {
+	isOver := func(t *heldTask) bool { return c.isOverInLog(t) || c.isForgotten(t) }
+	for _, t := range sortedAttempts(among, isOver) {
 		c.stopOver(t)
 	}
 }
@@ -127,6 +129,21 @@
 	}
 }
 
+// isForgotten reports whether a logged attempt belongs to a job that the log no
+// longer has, which is over, and its coordinator has been down for long. No process
+// will ask for it.
+func (c *Core) isForgotten(t *heldTask) bool {
+	ref := t.spec.Coordinator
+	if !t.spec.Kind.Logged() || c.isUp(ref) || !c.logUp || !c.caughtUp || c.jobs.byID[t.spec.Attempt.Job] != nil {
+		return false
+	}
+	since, ok := c.members.downSince[ref]
+	if !ok {
+		c.members.downSince[ref] = c.now
+	}
+	return ok && c.now.Sub(since) >= endedRetention
+}
+
 // isOverInLog reports whether a logged attempt is over as the log tells it.
 func (c *Core) isOverInLog(t *heldTask) bool {
 	return t.spec.Kind.Logged() && c.isClosed(t.spec.Attempt)
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -23,8 +23,16 @@
 	Largest api.Resources `cbor:"7,keyasint"`
 	// FreeByClass is how much each class may still take under floors and ceilings.
 	FreeByClass map[string]api.Resources `cbor:"8,keyasint,omitempty"`
-	// TeamUse is what each team's tasks coordinated by the sender occupy.
-	TeamUse map[string]api.Resources `cbor:"9,keyasint,omitempty"`
+}
+
+// TeamUse tells what each team's tasks coordinated by the sender occupy. It goes
+// apart from the heartbeat, because with many teams it is much longer and is needed
+// for quotas only.
+type TeamUse struct {
+	// Use holds the teams whose use has changed; a zero amount is no use.
+	Use map[string]api.Resources `cbor:"1,keyasint"`
+	// Full is set for the first message on a link: teams left out have no use.
+	Full bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Reserve asks a holder for room for tasks of one job. It starts nothing.
@@ -182,6 +190,7 @@
 }
 
 func (Summary) isMessage()       {}
+func (TeamUse) isMessage()       {}
 func (Reserve) isMessage()       {}
 func (Reserved) isMessage()      {}
 func (Release) isMessage()       {}
