Refuse a commit that meets another coordinator's reservation

Cause: the model of claims found that a late commit of a replaced coordinator can meet a reservation which the other coordinator made for the same attempt number at the same place; an attempt that was reported not_run would run. Ruled out: numbers per coordinator, which would let two attempts of one task have the same place in the order. Before: mutant COMMIT_FOR_OTHER of spec/claim.pml is rejected, the Go code did the same; TestCommitForOthersReservation fails. After: refused, and the reservation stays for its owner.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,11 @@
 unit:
 	$(GO) test -race -timeout 8m $(PACKAGES)
 
-test: test-setup format vet lint unit
+# Model checks and their mutants; needs Spin and a C compiler.
+spec: test-setup
+	./spec/check.sh
+
+test: test-setup format vet lint spec unit
 
 # A cell on loopback, with every outcome checked; needs bash and curl.
 demo: build
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -238,9 +238,9 @@
 	}
 }
 
-// commitReserved starts a reserved attempt. Without a live reservation in the
-// same epoch the attempt is refused, because its coordinator may have been
-// replaced meanwhile. This is the commit step of spec/claim.pml.
+// commitReserved starts a reserved attempt. Without a live reservation of the
+// sender in the same epoch the attempt is refused, because its coordinator may
+// have been replaced meanwhile. This is the commit step of spec/claim.pml.
 func (c *Core) commitReserved(from api.EntryRef, m message.Commit) {
 	id := m.Place.Attempt
 	if t := c.held.tasks[id]; t != nil {
@@ -251,7 +251,12 @@
 	}
 	r, ok := c.held.reservations[id]
 	w := c.workers.byName[m.Place.Worker]
+	if ok && r.spec.Coordinator != from {
+		c.refuseCommit(from, id)
+		return
+	}
 	if !ok || r.place != m.Place || w == nil || w.phase != leaseHeld || w.epoch != m.Place.Epoch {
+		c.dropReservation(id)
 		c.refuseCommit(from, id)
 		return
 	}
@@ -267,7 +272,6 @@
 }
 
 func (c *Core) refuseCommit(from api.EntryRef, id api.AttemptID) {
-	c.dropReservation(id)
 	reason := fault.New(fault.StaleEpoch, fmt.Sprintf("attempt %s has no live reservation", id), "reserve again")
 	c.send(from, message.StartRefused{Attempt: id, Reason: reason})
 }
--- a/internal/core/holder_test.go
+++ b/internal/core/holder_test.go
@@ -103,3 +103,25 @@
 	}
 	assert.DeepEqual(t, told, []api.EntryRef{peerRef})
 }
+
+// TestCommitForOthersReservation guards against a late commit of one coordinator
+// that meets the reservation which another one made for the same attempt.
+func TestCommitForOthersReservation(t *testing.T) {
+	l := newLone()
+	other := api.EntryRef{Name: "e2", Incarnation: 1}
+	l.step(PeerUp{Ref: other})
+	id := attemptID("e1-1-1", 1)
+	spec := runningAt(id, other).Spec
+	spec.Attempt = api.AttemptID{}
+	l.step(PeerMessage{From: other, Message: message.Reserve{Attempts: []api.AttemptID{id}, Spec: spec, TTLMS: 5000}})
+	place := message.Place{Attempt: id, Worker: "w00", Epoch: 5, Boot: 2}
+	_, refused := l.hear(message.Commit{Place: place}).(message.StartRefused)
+	assert.Assert(t, refused)
+	starts := 0
+	for _, action := range l.step(PeerMessage{From: other, Message: message.Commit{Place: place}}) {
+		if _, ok := action.(StartTask); ok {
+			starts++
+		}
+	}
+	assert.Equal(t, starts, 1)
+}
