--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -126,6 +126,7 @@
 	c.jobs.setOwner(j, writer, claimOffset)
 	c.openParked(j)
 	c.answerAccepted(j)
+	c.closeIfDone(j)
 }
 
 // answerAccepted tells the callers who submitted the job that it is in the log.
@@ -148,6 +149,7 @@
 		c.changeOwner(j, writer, claimOffset)
 	}
 	j.refreshed = c.now
+	c.closeIfDone(j)
 }
 
 // applyProgress sets the tasks of a job from a later copy of its accept record.
@@ -288,7 +290,7 @@
 	for _, id := range due {
 		j := mine[id]
 		j.refreshed = c.now
-		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: j.taskProgress()}})
+		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: c.taskProgress(j)}})
 	}
 }
 
@@ -298,10 +300,19 @@
 	return time.Duration(rendezvousScore(j.spec.ID, "") % uint64(c.cfg.RefreshInterval/4+1))
 }
 
-func (j *job) taskProgress() []record.TaskProgress {
+// taskProgress returns the state of the tasks as the records of this process tell
+// it that stand before the next one, those that were not read yet included: a
+// process that starts later may read the copy and not the records before.
+func (c *Core) taskProgress(j *job) []record.TaskProgress {
 	list := make([]record.TaskProgress, len(j.tasks))
 	for i, t := range j.tasks {
 		list[i] = record.TaskProgress{Attempts: t.attempts, Outcome: t.outcome}
+		if a := c.tries.byTask[taskRef{j.spec.ID, i}]; a != nil && a.phase == attemptClosing {
+			if !a.end.Retry {
+				list[i].Outcome = a.end.Outcome
+			}
+			continue
+		}
 		if t.phase == taskActive {
 			list[i].Started = true
 			list[i].Worker, list[i].Epoch, list[i].Boot = t.place.worker, t.place.epoch, t.place.boot
