End a cancelled job whose coordinator had decided to retry

Cause: the coordinator appends the end of an attempt with retry before it reads the cancellation that stands earlier in the log. All readers then set the task to waiting, and nobody runs or ends it. Ruled out: the coordinator alone, because every reader has to come to the same state; the later copies of a job, which did not tell that it was cancelled either (added here).

--- a/internal/core/log_test.go
+++ b/internal/core/log_test.go
@@ -120,3 +120,19 @@
 		assert.Assert(t, !progress.Started)
 	}
 }
+
+// TestRetryAfterCancellation guards against a cancelled job that never ends: its
+// coordinator decided to retry a task before it read the cancellation.
+func TestRetryAfterCancellation(t *testing.T) {
+	l := &logReader{lone: newLone(), writer: peerRef}
+	job := onceEach(1, time.Second)
+	job.ID = "e1.1.1"
+	id := api.AttemptID{Job: job.ID, Task: 0, Number: 1}
+	l.read(record.Record{Accept: &record.Accept{Job: job}})
+	l.read(record.Record{Start: &record.Start{Attempt: id, Worker: "w00", Epoch: 5, Boot: 2}})
+	l.read(record.Record{Cancel: &record.Cancel{JobID: job.ID}})
+	l.read(record.Record{End: &record.End{Attempt: id, Outcome: api.OutcomeUnknown, Retry: true}})
+	final := l.core.jobs.byID[job.ID].final
+	assert.Assert(t, final != nil)
+	assert.Equal(t, final.Outcome, api.OutcomeUnknown)
+}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -121,6 +121,7 @@
 		j.keep = true
 		c.jobs.byID[m.Job.ID] = j
 		j.applyProgress(m.Tasks)
+		j.cancelled = m.Cancelled
 	}
 	j.refreshed = c.now
 	c.jobs.setOwner(j, writer, claimOffset)
@@ -146,6 +147,7 @@
 	}
 	if claimOffset > j.claim {
 		j.applyProgress(m.Tasks)
+		j.cancelled = j.cancelled || m.Cancelled
 		c.changeOwner(j, writer, claimOffset)
 	}
 	j.refreshed = c.now
@@ -226,6 +228,8 @@
 		return
 	}
 	a := c.tries.byID[m.Attempt]
+	// The coordinator may have decided to retry before it read the cancellation.
+	m.Retry = m.Retry && !j.cancelled
 	if m.Retry {
 		t.phase = taskWaiting
 	} else {
@@ -290,7 +294,7 @@
 	for _, id := range due {
 		j := mine[id]
 		j.refreshed = c.now
-		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: c.taskProgress(j)}})
+		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: c.taskProgress(j), Cancelled: j.cancelled}})
 	}
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -45,6 +45,8 @@
 	// Tasks is the progress in a later copy, one entry per task. It is empty in
 	// the first copy only.
 	Tasks []TaskProgress `cbor:"3,keyasint,omitempty"`
+	// Cancelled is set in a later copy if the job was cancelled.
+	Cancelled bool `cbor:"4,keyasint,omitempty"`
 }
 
 // TaskProgress is the state of one task as the log tells it.
