--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -118,6 +118,10 @@
 	}
 	if j == nil {
 		j = newJob(m.Job, writer, c.now)
+		if m.Job.DeadlineMS > 0 {
+			// Counted from the reading, which is later than the submission.
+			j.deadline = c.now.Add(m.Job.Deadline())
+		}
 		j.keep = true
 		c.jobs.byID[m.Job.ID] = j
 		j.applyProgress(m.Tasks)
@@ -166,6 +170,7 @@
 		switch {
 		case p.Outcome != "":
 			t.phase = taskDone
+			t.dropped = true
 		case p.Started:
 			t.phase = taskActive
 		}
