--- /dev/null
+++ b/test/jobs_test.go
@@ -0,0 +1,178 @@
+package test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/standin"
+)
+
+// acceptedJobs are jobs that one entry process has accepted.
+type acceptedJobs struct {
+	c *cell
+	// retryable and once are batches; the tasks of once are not idempotent.
+	retryable, once, gang, service string
+}
+
+// Sizes of the accepted jobs. The gang takes half of the cell.
+const (
+	batchTasks   = 24
+	gangTasks    = 6
+	serviceTasks = 3
+	batchWork    = time.Second
+	gangWork     = 5 * time.Second
+)
+
+// coordinator is the entry process that accepts the jobs.
+const coordinator = "entry-1"
+
+func (c *cell) submitJobs() *acceptedJobs {
+	c.t.Helper()
+	client := c.client(coordinator)
+	submit := func(kind api.Kind, tasks int, work time.Duration, idempotent bool) string {
+		j := job(kind, tasks, work)
+		j.Idempotent = idempotent
+		answer := client.Submit(context.Background(), j)
+		assert.Equal(c.t, answer.Outcome, api.OutcomeAccepted, "%v", answer.Error)
+		return answer.JobID
+	}
+	return &acceptedJobs{c: c,
+		retryable: submit(api.KindBatch, batchTasks, batchWork, true),
+		once:      submit(api.KindBatch, batchTasks, batchWork, false),
+		gang:      submit(api.KindGang, gangTasks, gangWork, false),
+		service:   submit(api.KindService, serviceTasks, 0, true),
+	}
+}
+
+// awaitStarted waits until every job has a running task.
+func (a *acceptedJobs) awaitStarted() {
+	a.c.t.Helper()
+	a.c.await("the jobs to start", func() bool {
+		return a.c.runs(a.retryable) > 2 && a.c.runs(a.once) > 2 &&
+			a.c.runs(a.gang) == gangTasks && a.c.runs(a.service) == serviceTasks
+	})
+}
+
+// finish waits for the end of all jobs through an entry process and checks that
+// every task ran as often as it may.
+func (a *acceptedJobs) finish(through string) {
+	c := a.c
+	c.t.Helper()
+	client := c.client(through)
+	for _, id := range []string{a.retryable, a.once, a.gang} {
+		var done api.Answer
+		c.await("job "+id+" to end", func() bool {
+			done = client.Wait(context.Background(), id, time.Second)
+			return done.Outcome == api.OutcomeCompleted || done.Outcome == api.OutcomeFailed
+		})
+		assert.Equal(c.t, done.Outcome, api.OutcomeCompleted, "job %s: %v %+v", id, done.Error, done.Tasks)
+	}
+	c.checkRuns(a.retryable, batchTasks, 1, 3)
+	c.checkRuns(a.once, batchTasks, 1, 1)
+	c.checkRuns(a.gang, gangTasks, 1, 1)
+	c.checkRuns(a.service, serviceTasks, 1, 1)
+	assert.Equal(c.t, c.running(a.service), serviceTasks)
+	c.await("the service to be cancelled", func() bool {
+		return client.Cancel(context.Background(), a.service).Outcome == api.OutcomeFailed
+	})
+	c.await("the service to stop", func() bool { return c.running(a.service) == 0 })
+	c.checkWorkers()
+}
+
+// TestAcceptedJobsSurvive guards against accepted work that is lost, or that runs
+// twice, when a process or the log fails: tasks of batches and gangs that are not
+// idempotent run exactly once, and services run through every fault.
+func TestAcceptedJobsSurvive(t *testing.T) {
+	logFault := func(f standin.LogFaults) func(c *cell) {
+		return func(c *cell) { c.platform.SetLog(f) }
+	}
+	for _, test := range []struct {
+		name    string
+		fault   func(c *cell)
+		through string
+	}{
+		{"no fault", func(*cell) {}, "entry-0"},
+		{"coordinator killed", func(c *cell) { c.kill(coordinator) }, "entry-0"},
+		{"holder killed", func(c *cell) { c.kill("entry-0") }, "entry-2"},
+		{"coordinator and holder killed", func(c *cell) {
+			c.kill(coordinator)
+			c.kill("entry-0")
+		}, "entry-2"},
+		{"all killed and replaced", func(c *cell) {
+			for i := range 3 {
+				c.kill(entryName(i))
+			}
+			for i := range 3 {
+				c.startEntry(entryName(i))
+			}
+		}, "entry-0"},
+		{"coordinator paused past its adoption", func(c *cell) {
+			c.entries[coordinator].pause(c.t)
+			c.awaitAdopted("entry-0", "entry-2")
+			c.entries[coordinator].resume(c.t)
+		}, coordinator},
+		{"coordinator cut off from the log", func(c *cell) {
+			c.entries[coordinator].log.set(proxyFaults{Cut: true})
+			c.awaitLogDown(coordinator)
+			c.entries[coordinator].log.set(proxyFaults{})
+		}, "entry-0"},
+		{"coordinator cut off from its peers", func(c *cell) {
+			c.entries[coordinator].peers.set(proxyFaults{Cut: true})
+			c.entries["entry-2"].peers.set(proxyFaults{Cut: true})
+			c.awaitAdopted("entry-0", "entry-2")
+			c.entries[coordinator].peers.set(proxyFaults{})
+			c.entries["entry-2"].peers.set(proxyFaults{})
+		}, "entry-0"},
+		{"log outage", func(c *cell) {
+			c.platform.SetLog(standin.LogFaults{Down: true})
+			c.awaitLogDown(coordinator)
+			c.platform.SetLog(standin.LogFaults{})
+		}, "entry-0"},
+		{"coordinator killed in a log outage", func(c *cell) {
+			c.platform.SetLog(standin.LogFaults{Down: true})
+			c.awaitLogDown(coordinator)
+			c.kill(coordinator)
+			c.awaitHeld(4)
+			c.platform.SetLog(standin.LogFaults{})
+		}, "entry-2"},
+		{"append answers lost", logFault(standin.LogFaults{LoseAppends: -1}), "entry-0"},
+		{"append answers lost and coordinator killed", func(c *cell) {
+			c.platform.SetLog(standin.LogFaults{LoseAppends: -1, LoseBy504: true})
+			c.kill(coordinator)
+		}, "entry-0"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := startCell(t, defaultOptions())
+			jobs := c.submitJobs()
+			jobs.awaitStarted()
+			test.fault(c)
+			jobs.finish(test.through)
+		})
+	}
+}
+
+// awaitAdopted waits until one of the named processes has adopted a job. The
+// service is always there to be adopted; other jobs may have ended before.
+func (c *cell) awaitAdopted(names ...string) {
+	c.t.Helper()
+	c.await("the jobs to be adopted", func() bool {
+		adopted := uint64(0)
+		for _, name := range names {
+			adopted += c.entries[name].dump().Core.Counters.Adopted
+		}
+		return adopted > 0
+	})
+}
+
+func (c *cell) awaitLogDown(name string) {
+	c.t.Helper()
+	c.await("the outage to be noticed", func() bool {
+		d := c.entries[name].dump()
+		return d.Core.Ready && !d.Core.LogUp
+	})
+}
