End a cancelled task whose retry was being logged

Cause: when a task's end with 'retry' was written and a cancellation came first in the log, the end put the task back to waiting. Nobody queues tasks of a cancelled job, so the job never closed and its canceller waited until the reply bound. Ruled out: the stop at the worker; a cancelled attempt is stopped again when its holder changes. Before: TestCancellationWave had 1 of 2,000 cancellations answered unknown after 30 s. After: it passes. Conclusion: an end that is read after the cancellation is final.

--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -207,6 +207,9 @@
 		return
 	}
 	a := c.tries.byID[m.Attempt]
+	if j.cancelled {
+		m.Retry = false // the end was written before the cancellation was read
+	}
 	if m.Retry {
 		t.phase = taskWaiting
 	} else {
