--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -76,6 +76,31 @@
 			c.workerFault("worker-001", standin.WorkerFaults{PauseMS: 4000})
 			c.kill("entry-1")
 		}},
+		{"worker gone", func(c *cell, w *workload) {
+			c.workerFault("worker-003", standin.WorkerFaults{Gone: true})
+			w.awaitProgress(20)
+			c.workerFault("worker-003", standin.WorkerFaults{Restart: true})
+		}},
+		{"failure domain lost and back", func(c *cell, w *workload) {
+			lost := []string{"worker-000", "worker-003"}
+			c.kill("entry-0")
+			for _, name := range lost {
+				c.workerFault(name, standin.WorkerFaults{Gone: true})
+			}
+			c.awaitHeld(2)
+			w.awaitProgress(50)
+			for _, name := range lost {
+				c.workerFault(name, standin.WorkerFaults{Restart: true})
+			}
+		}},
+		{"failure domain silent", func(c *cell, w *workload) {
+			c.entries["entry-0"].pause(c.t)
+			c.workerFault("worker-000", standin.WorkerFaults{PauseMS: 8000})
+			c.workerFault("worker-003", standin.WorkerFaults{PauseMS: 8000})
+			c.awaitLinks("entry-1", 1)
+			c.awaitLinks("entry-2", 1)
+			c.entries["entry-0"].resume(c.t)
+		}},
 		{"worker fails everything", func(c *cell, w *workload) {
 			c.workerFault("worker-002", standin.WorkerFaults{FailAll: pointer(true)})
 		}},
