--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"maps"
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
@@ -39,7 +38,7 @@
 	granted   uint64 // latest epoch of the worker that a holder announced
 	since     time.Time
 	started   time.Time
-	tried     map[string]bool
+	tried     []string // names of holders, while it looks for room
 	preempted bool
 	cancelled bool
 	counted   bool // in the use of the class and the team
@@ -77,8 +76,6 @@
 	}
 }
 
-func (t *attemptTable) teamUseCopy() map[string]api.Resources { return maps.Clone(t.teamUse) }
-
 func (t *attemptTable) add(a *attempt) {
 	t.byID[a.id] = a
 	t.byTask[taskRef{a.id.Job, a.id.Task}] = a
@@ -127,6 +124,7 @@
 
 // proceed commits a reserved attempt, after its start record for a logged job.
 func (c *Core) proceed(a *attempt) {
+	a.tried = nil
 	c.tries.bind(a)
 	c.count(a)
 	t := &a.job.tasks[a.id.Task]
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -163,6 +163,8 @@
 	switch m := m.(type) {
 	case message.Summary:
 		c.peerSummary(from, m)
+	case message.TeamUse:
+		c.peerUse(from, m)
 	case message.Reserve:
 		c.reserve(from, m)
 	case message.Release:
@@ -209,6 +211,9 @@
 		return
 	}
 	c.lastSecond = c.now
+	if c.stopping {
+		c.chooseHolders() // open requests may have ended
+	}
 	c.stopOrphans()
 	c.relievePressure()
 	c.resendEnded()
@@ -216,6 +221,7 @@
 	c.adoptJobs()
 	c.refreshJobs()
 	c.forgetFinished()
+	c.shareTeamUse()
 	c.updateUseElsewhere()
 }
 
@@ -304,12 +310,15 @@
 	for _, class := range e.Bundle.Classes {
 		classes[class.Name] = class
 	}
+	isFirst := c.policy == nil
 	c.policy = &policy{classes: classes, timing: newTiming(e.Bundle.Timing)}
 	c.pool.SetPolicy(e.Bundle.Classes, e.Bundle.Fleet)
 	for _, it := range c.queue.SetPolicy(e.Bundle.Classes, e.Bundle.Teams) {
 		c.refuseRemoved(it)
 	}
-	c.chooseHolders()
+	if isFirst {
+		c.chooseHolders()
+	}
 }
 
 func newTiming(t bundle.Timing) timing {
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -18,6 +19,9 @@
 	downSince map[api.EntryRef]time.Time
 	// leaving holds the entry VMs that the VM list reports as leaving or gone.
 	leaving map[string]bool
+	// sharedUse is the use by team as the peers were told last.
+	sharedUse map[string]api.Resources
+	usedAt    time.Time // when sharedUse was told
 }
 
 // peerState is an entry process with a working link.
@@ -27,6 +31,7 @@
 	summary message.Summary
 	// promised is what was asked of the peer since its last summary.
 	promised api.Resources
+	teamUse  map[string]api.Resources
 }
 
 func newMembers() members {
@@ -34,6 +39,7 @@
 		peers:     make(map[string]*peerState),
 		downSince: make(map[api.EntryRef]time.Time),
 		leaving:   make(map[string]bool),
+		sharedUse: make(map[string]api.Resources),
 	}
 }
 
@@ -65,6 +71,7 @@
 	c.chooseHolders()
 	c.resendEndedTo(e.Ref)
 	c.announceHeld(e.Ref)
+	c.send(e.Ref, message.TeamUse{Use: maps.Clone(c.members.sharedUse), Full: true})
 }
 
 func (c *Core) peerDown(ref api.EntryRef) {
@@ -174,13 +181,74 @@
 		// A peer sends no summary while its own does not change, so what was
 		// asked of it must not stay subtracted.
 		p.promised = api.Resources{}
-		for team, amount := range p.summary.TeamUse {
+		for team, amount := range p.teamUse {
 			use[team] = use[team].Add(amount)
 		}
 	}
 	c.queue.SetUseElsewhere(use)
 }
 
+const (
+	// teamUseInterval is the pause between two messages about the use by teams.
+	teamUseInterval = 5 * time.Second
+	// teamUseStep is the relative change of a team's use that is worth telling.
+	teamUseStep = 0.1
+)
+
+// shareTeamUse tells the peers about teams whose use has changed.
+func (c *Core) shareTeamUse() {
+	if c.now.Sub(c.members.usedAt) < teamUseInterval {
+		return
+	}
+	c.members.usedAt = c.now
+	changed := make(map[string]api.Resources)
+	for team, now := range c.tries.teamUse {
+		if differs(now, c.members.sharedUse[team]) {
+			changed[team] = now
+		}
+	}
+	for team := range c.members.sharedUse {
+		if _, used := c.tries.teamUse[team]; !used {
+			changed[team] = api.Resources{}
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	mergeUse(c.members.sharedUse, changed)
+	for _, name := range sortedKeys(c.members.peers) {
+		c.send(c.members.peers[name].ref, message.TeamUse{Use: changed})
+	}
+}
+
+// differs reports whether a use has changed by more than teamUseStep.
+func differs(now, before api.Resources) bool {
+	return now.Sub(before).DominantShare(before.Max(now)) > teamUseStep ||
+		before.Sub(now).DominantShare(before.Max(now)) > teamUseStep
+}
+
+func mergeUse(into, changed map[string]api.Resources) {
+	for team, use := range changed {
+		if use == (api.Resources{}) {
+			delete(into, team)
+			continue
+		}
+		into[team] = use
+	}
+}
+
+// peerUse takes a peer's word on the use by teams.
+func (c *Core) peerUse(from api.EntryRef, m message.TeamUse) {
+	p := c.members.peers[from.Name]
+	if p == nil || p.ref != from {
+		return
+	}
+	if m.Full || p.teamUse == nil {
+		p.teamUse = make(map[string]api.Resources)
+	}
+	mergeUse(p.teamUse, m.Use)
+}
+
 // Summary returns the content of the next heartbeat.
 func (c *Core) Summary() message.Summary {
 	s := c.pool.Summary()
@@ -192,6 +260,5 @@
 		Free:        s.Free,
 		Largest:     s.Largest,
 		FreeByClass: s.FreeByClass,
-		TeamUse:     c.tries.teamUseCopy(),
 	}
 }
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
@@ -20,18 +22,19 @@
 	for _, r := range reports {
 		r.Spec.Payload = nil
 		t := &heldTask{
-			spec:   r.Spec,
-			place:  message.Place{Attempt: r.Spec.Attempt, Worker: w.vm.Name, Epoch: w.epoch, Boot: w.boot},
-			phase:  heldRunning,
-			report: r,
+			spec:  r.Spec,
+			place: message.Place{Attempt: r.Spec.Attempt, Worker: w.vm.Name, Epoch: w.epoch, Boot: w.boot},
+			phase: heldRunning,
 		}
 		if r.State == api.TaskEnded {
 			t.phase = heldEnded
 			t.endedAt = c.now
+			t.report = &r
 		} else {
 			c.pool.Adopt(c.now, w.vm.Name, r.Spec)
 		}
 		c.held.add(t)
+		c.closeHeld(t.spec.Attempt)
 		if t.phase == heldEnded {
 			c.send(t.spec.Coordinator, message.Ended{Report: r})
 		}
@@ -53,11 +56,10 @@
 	case t != nil:
 		if m.Claim >= t.claim {
 			t.claim = m.Claim
-			t.spec.Coordinator = from
-			t.report.Spec.Coordinator = from
+			c.held.setCoordinator(t, from)
 		}
 		if t.phase == heldEnded {
-			c.send(from, message.Ended{Report: t.report})
+			c.send(from, message.Ended{Report: *t.report})
 			return
 		}
 		answer.Status = message.AttemptRunning
@@ -78,32 +80,68 @@
 	if c.policy == nil {
 		return
 	}
-	for _, t := range sortedAttempts(c.held.tasks, c.isOverInLog) {
+	c.closeOverInLog()
+	for _, ref := range slices.SortedFunc(maps.Keys(c.held.byCoordinator), compareRefs) {
+		if !c.isUp(ref) {
+			c.stopOrphansOf(ref)
+		}
+	}
+}
+
+// stopOrphansOf handles the unlogged attempts of a coordinator that is down.
+func (c *Core) stopOrphansOf(ref api.EntryRef) {
+	since, ok := c.members.downSince[ref]
+	if !ok {
+		c.members.downSince[ref] = c.now
+		return
+	}
+	if c.now.Sub(since) < c.policy.timing.orphanGrace {
+		return
+	}
+	for _, t := range sortedAttempts(c.held.byCoordinator[ref], anyAttempt) {
+		c.stopOrphan(t)
+	}
+}
+
+// overScanSeconds is the number of seconds between two searches of all held attempts
+// for ones that the log tells are over. Most are found when their record is read
+// or their worker is taken over.
+const overScanSeconds = 10
+
+// closeOverInLog closes held attempts that are over in the log, or whose job is
+// forgotten everywhere.
+func (c *Core) closeOverInLog() {
+	among := c.held.ended
+	if c.lastSecond.Unix()%overScanSeconds == 0 {
+		among = c.held.tasks
+	}
+	isOver := func(t *heldTask) bool { return c.isOverInLog(t) || c.isForgotten(t) }
+	for _, t := range sortedAttempts(among, isOver) {
 		c.stopOver(t)
 	}
-	for _, t := range sortedAttempts(c.held.tasks, c.isOrphan) {
-		since, ok := c.members.downSince[t.spec.Coordinator]
-		if !ok {
-			c.members.downSince[t.spec.Coordinator] = c.now
-			continue
-		}
-		down := c.now.Sub(since)
-		switch {
-		case t.spec.Kind.Logged() && down >= endedRetention:
-			c.stopOver(t)
-		case !t.spec.Kind.Logged() && down >= c.policy.timing.orphanGrace:
-			c.stopOrphan(t)
-		}
+}
+
+// closeHeld closes an attempt that the log has just told to be over, if it is held
+// here.
+func (c *Core) closeHeld(id api.AttemptID) {
+	if t := c.held.tasks[id]; t != nil && t.phase != heldEnded && c.isOverInLog(t) {
+		c.stopOver(t)
 	}
 }
 
-// isOrphan reports whether the coordinator of an attempt is down and no process
-// will ask for it: it is unlogged, or the log no longer has its job, which is over.
-func (c *Core) isOrphan(t *heldTask) bool {
-	if c.isUp(t.spec.Coordinator) {
+// isForgotten reports whether a logged attempt belongs to a job that the log no
+// longer has, which is over, and its coordinator has been down for long. No process
+// will ask for it.
+func (c *Core) isForgotten(t *heldTask) bool {
+	ref := t.spec.Coordinator
+	if !t.spec.Kind.Logged() || c.isUp(ref) || !c.logUp || !c.caughtUp || c.jobs.byID[t.spec.Attempt.Job] != nil {
 		return false
 	}
-	return !t.spec.Kind.Logged() || c.logUp && c.caughtUp && c.jobs.byID[t.spec.Attempt.Job] == nil
+	since, ok := c.members.downSince[ref]
+	if !ok {
+		c.members.downSince[ref] = c.now
+	}
+	return ok && c.now.Sub(since) >= endedRetention
 }
 
 // isOverInLog reports whether a logged attempt is over as the log tells it.
@@ -131,7 +169,8 @@
 		return false
 	}
 	t := j.taskAt(id.Task)
-	return t == nil || t.phase == taskDone || t.attempts > id.Number
+	return t == nil || t.phase == taskDone || t.attempts > id.Number ||
+		t.phase == taskWaiting && t.attempts == id.Number
 }
 
 func (c *Core) stopOrphan(t *heldTask) {
@@ -162,12 +201,12 @@
 // lost with a link.
 func (c *Core) resendEnded() {
 	overdue := func(t *heldTask) bool {
-		return t.phase == heldEnded && c.isUp(t.spec.Coordinator) && !c.now.Before(t.nextResend())
+		return c.isUp(t.spec.Coordinator) && !c.now.Before(t.nextResend())
 	}
-	for _, t := range sortedAttempts(c.held.tasks, overdue) {
+	for _, t := range sortedAttempts(c.held.ended, overdue) {
 		t.resends++
 		t.resent = c.now
-		c.send(t.spec.Coordinator, message.Ended{Report: t.report})
+		c.send(t.spec.Coordinator, message.Ended{Report: *t.report})
 	}
 }
 
@@ -181,9 +220,9 @@
 
 // resendEndedTo sends the ends that a coordinator with a new link may have missed.
 func (c *Core) resendEndedTo(ref api.EntryRef) {
-	missed := func(t *heldTask) bool { return t.phase == heldEnded && t.spec.Coordinator == ref }
-	for _, t := range sortedAttempts(c.held.tasks, missed) {
-		c.send(ref, message.Ended{Report: t.report})
+	missed := func(t *heldTask) bool { return t.spec.Coordinator == ref }
+	for _, t := range sortedAttempts(c.held.ended, missed) {
+		c.send(ref, message.Ended{Report: *t.report})
 	}
 }
 
--- a/internal/core/orphans_test.go
+++ b/internal/core/orphans_test.go
@@ -56,11 +56,12 @@
 			t.Fatalf("%#v before the end was in the log", action)
 		}
 	}
+	var actions []Action
 	for _, id := range []api.AttemptID{ended, runs} {
-		l.read(record.Record{End: &record.End{Attempt: id, Outcome: api.OutcomeUnknown}})
+		actions = append(actions, l.read(record.Record{End: &record.End{Attempt: id, Outcome: api.OutcomeUnknown}})...)
 	}
 	var acknowledged, stopped []api.AttemptID
-	for _, action := range l.ticks(10) {
+	for _, action := range append(actions, l.ticks(10)...) {
 		switch a := action.(type) {
 		case AcknowledgeTasks:
 			acknowledged = append(acknowledged, a.Attempts...)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
@@ -18,6 +19,10 @@
 	maxReserving = 512
 	// postponeDelay is the pause before a task without room is tried again.
 	postponeDelay = 200 * time.Millisecond
+	// preemptAfter is how long a task waits before others are preempted for it.
+	// The work of a stopped task is lost, and room often comes within this time;
+	// urgent work has to start within 4.3 s.
+	preemptAfter = time.Second
 	// sampledPeers is the number of peers of which the best is asked.
 	sampledPeers = 3
 )
@@ -72,10 +77,7 @@
 	a.since = c.now
 	a.phase = attemptReserving
 	c.tries.reserving[a.id] = a
-	if a.tried == nil {
-		a.tried = make(map[string]bool)
-	}
-	a.tried[holder.Name] = true
+	a.tried = append(a.tried, holder.Name)
 	if p := c.members.peers[holder.Name]; p != nil {
 		p.promised = p.promised.Add(a.job.spec.Resources)
 	}
@@ -108,13 +110,13 @@
 // workers are near, then the best of a few sampled peers. When nobody has room,
 // the last one asked may preempt.
 func (c *Core) nextHolder(a *attempt) (holder api.EntryRef, preempt, ok bool) {
-	if !a.tried[c.cfg.Self.Name] && c.workers.heldCount > 0 {
+	if !slices.Contains(a.tried, c.cfg.Self.Name) && c.workers.heldCount > 0 {
 		return c.cfg.Self, false, true
 	}
 	if p := c.samplePeer(a); p != nil {
 		return p.ref, false, true
 	}
-	if a.preempted || !c.hasLessUrgent(a.job.spec.Class) {
+	if a.preempted || !c.mayPreempt(a) {
 		return api.EntryRef{}, false, false
 	}
 	a.preempted = true
@@ -127,6 +129,16 @@
 	return api.EntryRef{}, false, false
 }
 
+// mayPreempt reports whether a task has waited long enough to stop others: for
+// preemptAfter, or a quarter of the time until its deadline if that is less.
+func (c *Core) mayPreempt(a *attempt) bool {
+	patience := preemptAfter
+	if !a.item.Deadline.IsZero() {
+		patience = min(patience, a.item.Deadline.Sub(a.item.Submitted)/4)
+	}
+	return c.now.Sub(a.item.Submitted) >= patience && c.hasLessUrgent(a.job.spec.Class)
+}
+
 // hasLessUrgent reports whether tasks of some class may be preempted for class.
 func (c *Core) hasLessUrgent(class string) bool {
 	rank := c.policy.classes[class].Rank
@@ -147,7 +159,7 @@
 	sampled := 0
 	for _, i := range c.rng.Perm(len(live)) {
 		p := live[i]
-		if a.tried[p.ref.Name] || !p.mayHold(a.job.spec) {
+		if slices.Contains(a.tried, p.ref.Name) || !p.mayHold(a.job.spec) {
 			continue
 		}
 		if free := p.free().DominantShare(p.summary.Capacity); free > bestFree {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
@@ -124,6 +125,7 @@
 		j.keep = true
 		c.jobs.byID[m.Job.ID] = j
 		j.applyProgress(m.Tasks)
+		j.cancelled = m.Cancelled
 	}
 	j.refreshed = c.now
 	c.jobs.setOwner(j, writer, claimOffset)
@@ -149,6 +151,7 @@
 	}
 	if claimOffset > j.claim {
 		j.applyProgress(m.Tasks)
+		j.cancelled = j.cancelled || m.Cancelled
 		c.changeOwner(j, writer, claimOffset)
 	}
 	j.refreshed = c.now
@@ -230,6 +233,8 @@
 		return
 	}
 	a := c.tries.byID[m.Attempt]
+	// The coordinator may have decided to retry before it read the cancellation.
+	m.Retry = m.Retry && !j.cancelled
 	if m.Retry {
 		t.phase = taskWaiting
 	} else {
@@ -242,6 +247,7 @@
 	if a != nil && a.phase == attemptClosing {
 		c.closeAttempt(a, m)
 	}
+	c.closeHeld(m.Attempt)
 	c.closeIfDone(j)
 }
 
@@ -282,13 +288,18 @@
 		return
 	}
 	mine := c.jobs.byOwner[c.cfg.Self]
-	for _, id := range sortedKeys(mine) {
-		j := mine[id]
-		if c.now.Sub(j.refreshed) < c.cfg.RefreshInterval+c.spread(j) {
-			continue
+	var due []string
+	for id, j := range mine {
+		age := c.now.Sub(j.refreshed)
+		if age >= c.cfg.RefreshInterval && age >= c.cfg.RefreshInterval+c.spread(j) {
+			due = append(due, id)
 		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		j := mine[id]
 		j.refreshed = c.now
-		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: c.taskProgress(j)}})
+		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: c.taskProgress(j), Cancelled: j.cancelled}})
 	}
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -35,6 +35,7 @@
 	frameFetchRoll     frameType = 31
 	frameRoll          frameType = 32
 	frameHandOver      frameType = 33
+	frameTeamUse       frameType = 34
 )
 
 // protocolVersion changes when processes of two versions cannot talk. New
@@ -135,6 +136,7 @@
 	register[message.FetchRoll](frameFetchRoll)
 	register[message.Roll](frameRoll)
 	register[message.HandOver](frameHandOver)
+	register[message.TeamUse](frameTeamUse)
 }
 
 // encodeMessage returns the frame of m.
