--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"maps"
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
@@ -77,8 +76,6 @@
 	}
 }
 
-func (t *attemptTable) teamUseCopy() map[string]api.Resources { return maps.Clone(t.teamUse) }
-
 func (t *attemptTable) add(a *attempt) {
 	t.byID[a.id] = a
 	t.byTask[taskRef{a.id.Job, a.id.Task}] = a
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,6 +46,7 @@
 	policy   *policy
 	stopping bool
 	stopped  bool
+	alone    bool // stopping, and holds workers for its own requests
 	logUp    bool
 	caughtUp bool
 	lostLog  bool // the log dropped records that this process has not read
@@ -162,6 +163,8 @@
 	switch m := m.(type) {
 	case message.Summary:
 		c.peerSummary(from, m)
+	case message.TeamUse:
+		c.peerUse(from, m)
 	case message.Reserve:
 		c.reserve(from, m)
 	case message.Release:
@@ -201,6 +204,7 @@
 	c.expireQueue()
 	c.expireReservations()
 	c.timeOutReserving()
+	c.reviewAlone()
 	c.pursueLeases()
 	c.tries.failures = 0
 	if c.now.Sub(c.lastSecond) < time.Second {
@@ -217,6 +221,7 @@
 	c.adoptJobs()
 	c.refreshJobs()
 	c.forgetFinished()
+	c.shareTeamUse()
 	c.updateUseElsewhere()
 }
 
--- a/internal/core/log_test.go
+++ b/internal/core/log_test.go
@@ -100,3 +100,56 @@
 	read(record.Record{Accept: &record.Accept{Job: job, Tasks: progress}})
 	assert.Equal(t, l.core.jobs.byID[job.ID].open, 1)
 }
+
+// TestCopyTellsPendingEnd guards against a copy of a job that sets a task back for
+// processes that start later: its end stands before the copy and was not read yet
+// when the copy was made.
+func TestCopyTellsPendingEnd(t *testing.T) {
+	cell := newFakeCell(1, 1)
+	cell.limitLog(400)
+	cell.advance(2 * time.Second)
+	cell.ask("e0", 1, message.OpSubmit, onceEach(1, time.Second))
+	cell.advance(time.Second)
+	c := cell.procs["e0"].core
+	for len(c.tries.byID) == 0 || c.tries.byID[sortedAttempts(c.tries.byID, anyAttempt)[0].id].phase != attemptClosing {
+		cell.step()
+	}
+	for _, j := range c.jobs.byOwner[c.cfg.Self] {
+		progress := c.taskProgress(j)[0]
+		assert.Equal(t, progress.Outcome, api.OutcomeCompleted)
+		assert.Assert(t, !progress.Started)
+	}
+}
+
+// TestRetryAfterCancellation guards against a cancelled job that never ends: its
+// coordinator decided to retry a task before it read the cancellation.
+func TestRetryAfterCancellation(t *testing.T) {
+	l := &logReader{lone: newLone(), writer: peerRef}
+	job := onceEach(1, time.Second)
+	job.ID = "e1.1.1"
+	id := api.AttemptID{Job: job.ID, Task: 0, Number: 1}
+	l.read(record.Record{Accept: &record.Accept{Job: job}})
+	l.read(record.Record{Start: &record.Start{Attempt: id, Worker: "w00", Epoch: 5, Boot: 2}})
+	l.read(record.Record{Cancel: &record.Cancel{JobID: job.ID}})
+	l.read(record.Record{End: &record.End{Attempt: id, Outcome: api.OutcomeUnknown, Retry: true}})
+	final := l.core.jobs.byID[job.ID].final
+	assert.Assert(t, final != nil)
+	assert.Equal(t, final.Outcome, api.OutcomeUnknown)
+}
+
+// TestResultsOnlyInOldRecords guards against an empty answer that passes for the
+// whole one: the copy of a job tells that a task is done, but not its answer.
+func TestResultsOnlyInOldRecords(t *testing.T) {
+	l := &logReader{lone: newLone(), writer: peerRef}
+	l.core.caughtUp = false
+	job := onceEach(2, time.Second)
+	job.ID = "e1.1.1"
+	progress := []record.TaskProgress{{Attempts: 1, Outcome: api.OutcomeCompleted}, {}}
+	l.read(record.Record{Accept: &record.Accept{Job: job, Claim: 7, Tasks: progress}})
+	id := api.AttemptID{Job: job.ID, Task: 1, Number: 1}
+	l.read(record.Record{Start: &record.Start{Attempt: id, Worker: "w00", Epoch: 5, Boot: 2}})
+	l.read(record.Record{End: &record.End{Attempt: id, Outcome: api.OutcomeCompleted, Body: []byte("x")}})
+	final := l.core.jobs.byID[job.ID].final
+	assert.Equal(t, final.Outcome, api.OutcomeCompleted)
+	assert.Assert(t, final.Error != nil, "%v", final.Results)
+}
--- a/internal/core/orphans_test.go
+++ b/internal/core/orphans_test.go
@@ -73,6 +73,38 @@
 	assert.DeepEqual(t, stopped, []api.AttemptID{runs})
 }
 
+// TestJobForgottenEverywhere guards against attempts of a logged job that stay at
+// a worker when no process and no record knows the job any more.
+func TestJobForgottenEverywhere(t *testing.T) {
+	dead := api.EntryRef{Name: "e2", Incarnation: 1}
+	l := newLone(runningAt(attemptID("e2.1.1", 1), dead))
+	stops := 0
+	for _, action := range l.ticks(660) {
+		if _, ok := action.(ControlTask); ok {
+			stops++
+		}
+	}
+	assert.Equal(t, stops, 1)
+}
+
+// TestSecondChoiceAdopts guards against a job that nobody adopts because the
+// preferred adopter does not know it.
+func TestSecondChoiceAdopts(t *testing.T) {
+	for i := range 8 {
+		l := &logReader{lone: newLone(), writer: api.EntryRef{Name: "e2", Incarnation: 1}}
+		job := onceEach(1, time.Second)
+		job.ID = api.NewJobID(l.writer, uint64(i))
+		l.read(record.Record{Accept: &record.Accept{Job: job}})
+		adoptions := 0
+		for _, action := range l.ticks(45) {
+			if a, ok := action.(Append); ok && a.Records[0].Adopt != nil {
+				adoptions++
+			}
+		}
+		assert.Assert(t, adoptions > 0, job.ID)
+	}
+}
+
 // TestGivenUpBeforeStart guards against a process that takes a start record which
 // does not count for a start, and so never sees the end of a cancelled job.
 func TestGivenUpBeforeStart(t *testing.T) {
@@ -137,3 +169,18 @@
 	}
 	assert.Equal(t, cancels, 1)
 }
+
+// TestDeadlineAfterAdoption guards against tasks that start after their deadline
+// because the process that adopted the job does not know it.
+func TestDeadlineAfterAdoption(t *testing.T) {
+	cell := warmCell(t, 2, 1)
+	job := batch(api.KindBatch, 12, 4*time.Second)
+	job.DeadlineMS = 9000
+	cell.ask("e0", 1, message.OpSubmit, job)
+	cell.advance(time.Second)
+	cell.kill("e0")
+	cell.advance(time.Minute)
+	id := cell.answer("e0", 1).JobID
+	assert.Assert(t, cell.ran[id] < 12, "%d tasks ran", cell.ran[id])
+	assert.Assert(t, cell.procs["e1"].core.jobs.byID[id].final != nil)
+}
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -118,14 +118,20 @@
 	}
 	if j == nil {
 		j = newJob(m.Job, writer, c.now)
+		if m.Job.DeadlineMS > 0 {
+			// Counted from the reading, which is later than the submission.
+			j.deadline = c.now.Add(m.Job.Deadline())
+		}
 		j.keep = true
 		c.jobs.byID[m.Job.ID] = j
 		j.applyProgress(m.Tasks)
+		j.cancelled = m.Cancelled
 	}
 	j.refreshed = c.now
 	c.jobs.setOwner(j, writer, claimOffset)
 	c.openParked(j)
 	c.answerAccepted(j)
+	c.closeIfDone(j)
 }
 
 // answerAccepted tells the callers who submitted the job that it is in the log.
@@ -145,9 +151,11 @@
 	}
 	if claimOffset > j.claim {
 		j.applyProgress(m.Tasks)
+		j.cancelled = j.cancelled || m.Cancelled
 		c.changeOwner(j, writer, claimOffset)
 	}
 	j.refreshed = c.now
+	c.closeIfDone(j)
 }
 
 // applyProgress sets the tasks of a job from a later copy of its accept record.
@@ -162,6 +170,7 @@
 		switch {
 		case p.Outcome != "":
 			t.phase = taskDone
+			t.dropped = true
 		case p.Started:
 			t.phase = taskActive
 		}
@@ -224,6 +233,8 @@
 		return
 	}
 	a := c.tries.byID[m.Attempt]
+	// The coordinator may have decided to retry before it read the cancellation.
+	m.Retry = m.Retry && !j.cancelled
 	if m.Retry {
 		t.phase = taskWaiting
 	} else {
@@ -288,7 +299,7 @@
 	for _, id := range due {
 		j := mine[id]
 		j.refreshed = c.now
-		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: j.taskProgress()}})
+		c.append(record.Record{Accept: &record.Accept{Job: j.spec, Claim: j.claim, Tasks: c.taskProgress(j), Cancelled: j.cancelled}})
 	}
 }
 
@@ -298,10 +309,19 @@
 	return time.Duration(rendezvousScore(j.spec.ID, "") % uint64(c.cfg.RefreshInterval/4+1))
 }
 
-func (j *job) taskProgress() []record.TaskProgress {
+// taskProgress returns the state of the tasks as the records of this process tell
+// it that stand before the next one, those that were not read yet included: a
+// process that starts later may read the copy and not the records before.
+func (c *Core) taskProgress(j *job) []record.TaskProgress {
 	list := make([]record.TaskProgress, len(j.tasks))
 	for i, t := range j.tasks {
 		list[i] = record.TaskProgress{Attempts: t.attempts, Outcome: t.outcome}
+		if a := c.tries.byTask[taskRef{j.spec.ID, i}]; a != nil && a.phase == attemptClosing {
+			if !a.end.Retry {
+				list[i].Outcome = a.end.Outcome
+			}
+			continue
+		}
 		if t.phase == taskActive {
 			list[i].Started = true
 			list[i].Worker, list[i].Epoch, list[i].Boot = t.place.worker, t.place.epoch, t.place.boot
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -191,7 +191,7 @@
 	}
 	return old.Stopping == new.Stopping && old.Roll == new.Roll && old.Held == new.Held &&
 		old.Capacity == new.Capacity && old.Free == new.Free && old.Largest == new.Largest &&
-		maps.Equal(old.FreeByClass, new.FreeByClass) && maps.Equal(old.TeamUse, new.TeamUse)
+		maps.Equal(old.FreeByClass, new.FreeByClass)
 }
 
 func (m *Mesh) currentSummary() (uint64, *message.Summary) {
