Trust a drain rate only with enough starts

Ruled out: a longer warm-up alone, which delays early refusals in a flood (TestTooLate wants them after 2 s of 10 starts a second). Before: TestColdStart refuses with an expected wait of 4.5 s. After: under 10 starts the rate counts after 2 s of busy time; TestFlood passes as before. Conclusion: a cell without any start still refuses early after 2 s.

--- a/internal/queue/drain.go
+++ b/internal/queue/drain.go
@@ -10,8 +10,13 @@
 	// rate. It spans many run times of short requests and still follows a loss
 	// of capacity within the deadline of urgent work.
 	drainMemory = 5 * time.Second
-	// drainWarmUp is the busy time below which the rate is not yet trusted.
-	drainWarmUp = 250 * time.Millisecond
+	// drainWarmUp is the busy time below which the rate is not yet trusted, and
+	// drainSilence the same while fewer than drainMinStarts have started. Without
+	// the latter, the first requests after a start were refused as too late on an
+	// idle cell, because few start while the connections to workers are opened.
+	drainWarmUp    = 250 * time.Millisecond
+	drainSilence   = 2 * time.Second
+	drainMinStarts = 10
 )
 
 // drainRate measures starts per second of busy time, which is time with work
@@ -50,7 +55,7 @@
 // while nothing has to wait or too little busy time has been seen.
 func (d *drainRate) expected(now time.Time, items float64) time.Duration {
 	d.advance(now)
-	if !d.busy || d.seconds < drainWarmUp.Seconds() {
+	if !d.busy || !d.isTrusted() {
 		return 0
 	}
 	// Half a start keeps the estimate finite when nothing has started.
@@ -58,5 +63,12 @@
 	return time.Duration(min(seconds, maxExpectedWait.Seconds()) * float64(time.Second))
 }
 
+func (d *drainRate) isTrusted() bool {
+	if d.starts < drainMinStarts {
+		return d.seconds >= drainSilence.Seconds()
+	}
+	return d.seconds >= drainWarmUp.Seconds()
+}
+
 // maxExpectedWait bounds estimates.
 const maxExpectedWait = 24 * time.Hour
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -136,6 +136,23 @@
 	assert.Equal(t, q.Stats()[0].Refused[fault.TooLate], uint64(1))
 }
 
+// TestColdStart guards against refusals of the first requests after a start, when
+// few have started yet and the cell is idle.
+func TestColdStart(t *testing.T) {
+	q := policy(100, []bundle.Class{{Name: "a", QueueBound: 1000, DeadlineMS: 4300}}, "x")
+	for i := range 20 {
+		now := at(float64(i) / 20)
+		it := request(fmt.Sprint(i), "x", "a", 1)
+		it.Submitted = now
+		assert.NilError(t, q.Offer(now, it))
+		if next, ok := q.Next(now); ok && i < 2 {
+			q.Started(now, next)
+		} else if ok {
+			q.Postpone(now, next, at(1))
+		}
+	}
+}
+
 // TestNextOrder guards the order of floors, classes, ceilings and items, and
 // shares that ignore what peers use.
 func TestNextOrder(t *testing.T) {
