--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -226,10 +226,15 @@
 func (s *Server) leave() { <-s.waiting }
 
 func (s *Server) authorize(c fiber.Ctx, team string) error {
-	token, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
-	if !ok || token == "" || team == "" {
-		return fault.New(fault.Unauthorized, "the bearer token or the team is missing",
-			"send the header Authorization: Bearer with the team's token, and name the team")
+	if team == "" {
+		return fault.New(fault.Unauthorized, "the team is missing", "name the team, and send its token in the header Authorization: Bearer")
+	}
+	// A team without a token hash is open, so a missing token is for the backend
+	// to judge.
+	header := c.Get(fiber.HeaderAuthorization)
+	token, ok := strings.CutPrefix(header, "Bearer ")
+	if !ok && header != "" {
+		return fault.New(fault.Unauthorized, "the header Authorization has no bearer token", "send the header Authorization: Bearer with the team's token")
 	}
 	return s.cfg.Backend.Authorize(strings.Clone(token), strings.Clone(team))
 }
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -124,6 +124,8 @@
 		{"POST", "/v1/jobs", `{"team":"team","key":"a"}`, 400, "Idempotency-Key differs", []string{"Idempotency-Key", "b"}},
 		{"POST", "/v1/jobs", jobJSON, 401, `"not_run"`, []string{"Authorization", "Bearer wrong"}},
 		{"POST", "/v1/jobs", jobJSON, 401, "bearer token", []string{"Authorization", "secret"}},
+		{"POST", "/v1/jobs", jobJSON, 401, "wrong", []string{"Authorization", ""}},
+		{"POST", "/v1/jobs", `{"class":"c","kind":"request"}`, 401, "the team is missing", nil},
 		{"POST", "/v1/ids?team=other", "", 401, `"unauthorized"`, nil},
 		{"GET", "/v1/jobs/j?team=team&wait_ms=-1", "", 400, "wait_ms", nil},
 		{"GET", "/v1/jobs/j", "", 401, `"unknown"`, nil},
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -89,6 +89,9 @@
 	if want == "" {
 		return nil
 	}
+	if token == "" {
+		return fault.New(fault.Unauthorized, "the bearer token is missing", "send the header Authorization: Bearer with the team's token")
+	}
 	sum := sha256.Sum256([]byte(token))
 	if subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(want)) != 1 {
 		return fault.New(fault.Unauthorized, fmt.Sprintf("the token is not that of team %q", team), "send the team's token as bearer token")
