Let every entry process hold workers before a fault acts

Cause: for the first 3 s one process holds all workers, so a fault at another one hit no holder. Before: 'entry process paused twice' paused a process without a worker. After: the tests of faults, identities and jobs wait for the preferred holders.

--- a/test/check_test.go
+++ b/test/check_test.go
@@ -112,3 +112,20 @@
 	c.t.Cleanup(client.Close)
 	return client
 }
+
+// awaitPreferredHolders waits until every worker is held by its preferred holder.
+func (c *cell) awaitPreferredHolders() {
+	c.t.Helper()
+	c.await("workers to be at their preferred holders", func() bool {
+		atHome := 0
+		for _, e := range c.entries {
+			d := e.dump().Core
+			for _, w := range d.Workers {
+				if w.Lease == "held" && w.Preferred == d.Self.String() {
+					atHome++
+				}
+			}
+		}
+		return atHome == len(c.platform.Addresses().Workers)
+	})
+}
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -108,6 +108,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			c := startCell(t, defaultOptions())
+			c.awaitPreferredHolders() // so that every entry process is a holder
 			w := c.startWorkload(faultSeed)
 			w.awaitProgress(50)
 			test.fault(c, w)
--- a/test/identity_test.go
+++ b/test/identity_test.go
@@ -104,6 +104,7 @@
 			t.Run(way+"/"+f.name, func(t *testing.T) {
 				t.Parallel()
 				c := startCell(t, defaultOptions())
+				c.awaitPreferredHolders() // so that the owner is a holder too
 				c.runOnce(way, f)
 			})
 		}
--- a/test/jobs_test.go
+++ b/test/jobs_test.go
@@ -148,6 +148,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			c := startCell(t, defaultOptions())
+			c.awaitPreferredHolders() // so that every entry process is a holder
 			jobs := c.submitJobs()
 			jobs.awaitStarted()
 			test.fault(c)
--- a/test/limits_test.go
+++ b/test/limits_test.go
@@ -139,23 +139,6 @@
 	w.finish()
 }
 
-// awaitPreferredHolders waits until every worker is held by its preferred holder.
-func (c *cell) awaitPreferredHolders() {
-	c.t.Helper()
-	c.await("workers to be at their preferred holders", func() bool {
-		atHome := 0
-		for _, e := range c.entries {
-			d := e.dump().Core
-			for _, w := range d.Workers {
-				if w.Lease == "held" && w.Preferred == d.Self.String() {
-					atHome++
-				}
-			}
-		}
-		return atHome == len(c.platform.Addresses().Workers)
-	})
-}
-
 // TestTaskPastItsMemory guards against a task that uses more than its worker has:
 // it is throttled, then checkpointed, and tasks that keep to their size run on.
 func TestTaskPastItsMemory(t *testing.T) {
