Sign the roll after a forged one before the forged one is appended

Cause: the test signed the next roll with the code under test after it had read the forged roll, so with the signature check taken out it built on the forged roll and passed. After: the next roll names the one before the forged roll.

--- a/test/rolls_test.go
+++ b/test/rolls_test.go
@@ -132,11 +132,16 @@
 		func(r *bundle.RollRecord) { r.Version++ },
 		func(r *bundle.RollRecord) { r.Number += 5; r.Sign(wrong) },
 	} {
+		// The next roll is signed first. It replaces the one before the forged
+		// one, so it takes effect only where the forged one had none.
+		next := testBundle()
+		c.version++
+		next.Version = c.version
+		signed := c.sign(next, signer, c.keys[signer])
 		c.appendRolls(c.forged(forge))
 		c.appendRolls([][]byte{[]byte("no record"), {}})
-		// The next roll replaces the one before the forged one, so it takes
-		// effect only where the forged one had none.
-		c.awaitRollInTime(c.roll(testBundle()))
+		c.appendRolls(signed.Records)
+		c.awaitRollInTime(signed.Number)
 		for _, e := range c.entries {
 			assert.Equal(t, e.readiness().Version, c.version)
 		}
