Stop processes under requests that outlast the notice

Cause: with the wait for open requests taken out, the test passed, because its requests ended within the notice and the bound of the servers.

--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -66,6 +66,10 @@
 	return s.results
 }
 
+// stopWork is longer than the time for which a stopping process answers callers in
+// any case, so that a process which does not wait for its requests is found.
+const stopWork = 6 * time.Second
+
 // TestPlannedStopFinishesRequests guards against a planned stop that cuts a request
 // off: running ones, ones with a long answer and ones that still wait for room are
 // answered whole, and the process exits with code 0.
@@ -85,7 +89,7 @@
 			const running, long, waiting = 6, 4, 30
 			for _, name := range test.stop {
 				s.submitAll(name, long, request(1500*time.Millisecond, 4<<20))
-				s.submitAll(name, running, request(2*time.Second, 100))
+				s.submitAll(name, running, request(stopWork, 100))
 				s.submitAll(name, waiting, request(300*time.Millisecond, 1000))
 			}
 			c.await("the requests to be taken", func() bool {
