--- /dev/null
+++ b/test/fence_test.go
@@ -0,0 +1,58 @@
+package test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/vmlist"
+)
+
+// startBehindProxy starts a cell with one worker behind a proxy. The worker is in
+// the failure domain of entry-0, which holds it.
+func startBehindProxy(t *testing.T) (*cell, *proxy) {
+	t.Helper()
+	o := defaultOptions()
+	o.entries, o.workers = 2, 1
+	c := newCell(t, o)
+	link := startProxy(t, c.platform.Addresses().Workers["worker-000"])
+	c.platform.SetVM(api.VM{Name: "worker-000", Role: api.RoleWorker, Address: link.address(), Domain: "a",
+		Region: "r", Rack: "a-rack-0", Capacity: o.capacity})
+	list := vmlist.NewClient(c.platform.Addresses().VMs)
+	t.Cleanup(list.Close)
+	c.await("the list to show the proxy", func() bool {
+		answer, err := list.Changes(context.Background(), 0, 0)
+		return err == nil && len(answer.VMs) == 1 && answer.VMs[0].Address == link.address()
+	})
+	c.startEntry("entry-0")
+	c.roll(o.bundle)
+	c.awaitReady()
+	c.awaitHeld(1)
+	c.startEntry("entry-1")
+	c.awaitReady()
+	c.awaitHeld(1)
+	return c, link
+}
+
+// TestDelayedStartIsRefused guards against a second run of a task when the start
+// request of a holder that died arrives after the next holder has the lease.
+func TestDelayedStartIsRefused(t *testing.T) {
+	t.Parallel()
+	c, link := startBehindProxy(t)
+	link.set(proxyFaults{DropToServer: true})
+	s := &submissions{c: c}
+	s.submitAll("entry-1", 6, request(4*time.Second, 100))
+	c.await("the starts to be under way", func() bool { return c.entries["entry-0"].dump().Core.Attempts.Held == 6 })
+	c.kill("entry-0")
+	link.holdOpen()
+	c.await("the requests to run under the next holder", func() bool { return len(c.platform.History(0).Runs) == 6 })
+	link.letGo()
+	for _, r := range s.awaitAll() {
+		c.checkAnswer(r.job, r.answer)
+		assert.Equal(t, c.runs(r.answer.JobID), 1)
+	}
+	c.checkWorkers()
+}
--- a/test/proxy_test.go
+++ b/test/proxy_test.go
@@ -1,7 +1,7 @@
 package test
 
 import (
-	"io"
+	"maps"
 	"net"
 	"sync"
 	"testing"
@@ -33,6 +33,7 @@
 	mu     sync.Mutex // guards the fields below
 	faults proxyFaults
 	open   map[net.Conn]bool
+	held   map[net.Conn]bool // connections whose data to the server waits
 	closed bool
 	change chan struct{} // closed when the faults change
 }
@@ -65,6 +66,22 @@
 	}
 }
 
+// holdOpen keeps back what the present connections send to the server, as packets
+// that arrive late, and lets later connections pass. letGo ends it.
+func (p *proxy) holdOpen() {
+	p.mu.Lock()
+	p.held = maps.Clone(p.open)
+	p.mu.Unlock()
+	p.set(proxyFaults{})
+}
+
+func (p *proxy) letGo() {
+	p.mu.Lock()
+	p.held = nil
+	p.mu.Unlock()
+	p.set(proxyFaults{})
+}
+
 func (p *proxy) closeOpen() {
 	for c := range p.open {
 		_ = c.Close()
@@ -131,8 +148,8 @@
 	}
 }
 
-func (p *proxy) pass(to io.Writer, data []byte, toServer bool) bool {
-	faults, ok := p.awaitDirection(toServer)
+func (p *proxy) pass(to net.Conn, data []byte, toServer bool) bool {
+	faults, ok := p.awaitDirection(to, toServer)
 	if !ok {
 		return false
 	}
@@ -146,12 +163,13 @@
 }
 
 // awaitDirection waits while the direction is dropped.
-func (p *proxy) awaitDirection(toServer bool) (proxyFaults, bool) {
+func (p *proxy) awaitDirection(to net.Conn, toServer bool) (proxyFaults, bool) {
 	for {
 		p.mu.Lock()
 		f, change, closed := p.faults, p.change, p.closed
+		held := p.held[to] && toServer
 		p.mu.Unlock()
-		dropped := f.DropToServer && toServer || f.DropToClient && !toServer
+		dropped := held || f.DropToServer && toServer || f.DropToClient && !toServer
 		if closed || f.Cut {
 			return f, false
 		}
