--- a/test/fence_test.go
+++ b/test/fence_test.go
@@ -56,3 +56,33 @@
 	}
 	c.checkWorkers()
 }
+
+// TestTakeoverKeepsCapacity guards against a holder that counts workers as empty
+// which it took over with running tasks.
+func TestTakeoverKeepsCapacity(t *testing.T) {
+	t.Parallel()
+	c := startCell(t, defaultOptions())
+	c.awaitPreferredHolders()
+	s := &submissions{c: c}
+	for _, class := range []string{"urgent", "bulk"} {
+		j := request(4*time.Second, 100)
+		j.Class = class
+		s.submitAll("entry-1", 20, j)
+		s.submitAll("entry-2", 20, j)
+	}
+	c.await("the cell to be full", func() bool {
+		for _, e := range c.entries {
+			for _, w := range e.dump().Core.Held {
+				if w.Free.CPUMilli >= 500 && w.Free.Slots > 0 {
+					return false
+				}
+			}
+		}
+		return len(c.platform.History(0).Runs) > 0
+	})
+	c.kill("entry-0")
+	for _, r := range s.awaitAll() {
+		c.checkAnswer(r.job, r.answer)
+	}
+	c.checkWorkers()
+}
