Attempt lost tasks of accepted jobs again beyond the retry budget

Cause: when many workers are lost at once, the retry budget (a tenth of first attempts) runs out and accepted idempotent tasks ended as unknown: up to 10,400 of them when a failure domain of the design size goes. Ruled out: waiting for budget, which a cell without new work never earns; dropping the budget, which starts all of them at once. Before: TestLostTasksBeyondBudget, outcome unknown. After: the tasks are attempted again, each after a random pause of up to 30 s. Conclusion: requests keep the budget, because their callers wait; max_attempts holds for both.

--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -61,14 +61,26 @@
 	case res.interrupted, j.spec.Kind == api.KindService:
 		return true
 	}
-	class := c.policy.classes[j.spec.Class]
-	return a.id.Number < class.MaxAttempts && c.queue.AllowRetry(j.spec.Class)
+	if a.id.Number >= c.policy.classes[j.spec.Class].MaxAttempts {
+		return false
+	}
+	return isLost(j, res) || c.queue.AllowRetry(j.spec.Class)
+}
+
+// isLost reports whether a task of a logged job was lost with its worker. Such a
+// task is attempted again even without retry budget, but then after a long and
+// random pause: the loss of a failure domain must neither fail accepted jobs nor
+// start all of their tasks at once.
+func isLost(j *job, res result) bool {
+	return res.outcome == api.OutcomeUnknown && j.spec.Kind.Logged()
 }
 
 // Pauses before a task is attempted again.
 const (
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 5 * time.Second
+	// lostRetrySpread is the longest pause of a lost task without retry budget.
+	lostRetrySpread = 30 * time.Second
 )
 
 // requeue lets a task wait for its next attempt. The pause grows with the number
@@ -82,6 +94,9 @@
 	if res.outcome == api.OutcomeNotRun {
 		delay = minRetryDelay
 	}
+	if isLost(j, res) && !c.queue.AllowRetry(j.spec.Class) {
+		delay = time.Duration(c.rng.Int64N(int64(lostRetrySpread)))
+	}
 	c.tries.delayed = append(c.tries.delayed, delayedItem{at: c.now.Add(c.jitter(delay)), item: it})
 }
 
