--- a/internal/core/adopt.go
+++ b/internal/core/adopt.go
@@ -130,8 +130,8 @@
 		item:  j.item(number, true),
 		place: message.Place{Attempt: id, Worker: t.place.worker, Epoch: t.place.epoch, Boot: t.place.boot},
 	}
-	c.tries.add(a)
-	c.tries.bind(a)
+	c.attempts.add(a)
+	c.attempts.bind(a)
 	c.count(a)
 	c.strand(a)
 }
@@ -198,7 +198,7 @@
 	j.parked = nil
 	for i := range j.tasks {
 		c.queue.Cancel(j.item(i, false).Key)
-		a := c.tries.byTask[taskRef{j.spec.ID, i}]
+		a := c.attempts.byTask[taskRef{j.spec.ID, i}]
 		if a == nil {
 			continue
 		}
@@ -211,6 +211,6 @@
 			continue
 		}
 		c.uncount(a)
-		c.tries.remove(a)
+		c.attempts.remove(a)
 	}
 }
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -118,14 +118,14 @@
 		job:  j,
 		item: it,
 	}
-	c.tries.add(a)
+	c.attempts.add(a)
 	return a
 }
 
 // proceed commits a reserved attempt, after its start record for a logged job.
 func (c *Core) proceed(a *attempt) {
 	a.tried = nil
-	c.tries.bind(a)
+	c.attempts.bind(a)
 	c.count(a)
 	t := &a.job.tasks[a.id.Task]
 	t.phase = taskActive
@@ -150,7 +150,7 @@
 	it := a.unit()
 	c.queue.Started(c.now, it)
 	team := a.job.spec.Team
-	c.tries.teamUse[team] = c.tries.teamUse[team].Add(a.job.spec.Resources)
+	c.attempts.teamUse[team] = c.attempts.teamUse[team].Add(a.job.spec.Resources)
 }
 
 func (c *Core) uncount(a *attempt) {
@@ -164,12 +164,12 @@
 	}
 	c.queue.Finished(c.now, a.unit(), ran)
 	team := a.job.spec.Team
-	left := c.tries.teamUse[team].Sub(a.job.spec.Resources)
+	left := c.attempts.teamUse[team].Sub(a.job.spec.Resources)
 	if left == (api.Resources{}) {
-		delete(c.tries.teamUse, team)
+		delete(c.attempts.teamUse, team)
 		return
 	}
-	c.tries.teamUse[team] = left
+	c.attempts.teamUse[team] = left
 }
 
 // unit returns the queue item of this one task; a gang's item covers all tasks.
@@ -192,11 +192,11 @@
 }
 
 func (c *Core) attemptStarted(id api.AttemptID) {
-	a := c.tries.byID[id]
+	a := c.attempts.byID[id]
 	if a == nil || a.phase != attemptCommitted && a.phase != attemptStranded {
 		return
 	}
-	delete(c.tries.stranded, id)
+	delete(c.attempts.stranded, id)
 	c.markRunning(a)
 }
 
@@ -216,7 +216,7 @@
 
 // attemptRefused handles a commit that is proved not to have started.
 func (c *Core) attemptRefused(m message.StartRefused) {
-	a := c.tries.byID[m.Attempt]
+	a := c.attempts.byID[m.Attempt]
 	if a == nil || a.phase < attemptCommitted || a.phase == attemptClosing {
 		return
 	}
@@ -226,7 +226,7 @@
 // attemptEnded handles a holder's report on an ended attempt. Only the report on
 // the task's present attempt counts.
 func (c *Core) attemptEnded(from api.EntryRef, r api.TaskReport) {
-	a := c.tries.byID[r.Spec.Attempt]
+	a := c.attempts.byID[r.Spec.Attempt]
 	if a == nil {
 		c.acknowledgeStray(from, r.Spec)
 		return
@@ -281,13 +281,13 @@
 	if a.phase == attemptReserving || a.phase == attemptReserved {
 		c.send(a.holder, message.Release{Attempts: []api.AttemptID{a.id}})
 	}
-	c.tries.remove(a)
+	c.attempts.remove(a)
 }
 
 // holderDown reacts to the loss of an entry process that holds attempts.
 func (c *Core) holderDown(ref api.EntryRef) {
 	atHolder := func(a *attempt) bool { return a.holder == ref }
-	for _, a := range sortedAttempts(c.tries.byID, atHolder) {
+	for _, a := range sortedAttempts(c.attempts.byID, atHolder) {
 		switch a.phase {
 		case attemptReserving:
 			c.leaveHolder(a)
@@ -299,7 +299,7 @@
 
 // strandWorker marks the attempts on a worker whose holder lost the lease.
 func (c *Core) strandWorker(worker string, holder api.EntryRef) {
-	for _, a := range sortedAttempts(c.tries.byWorker[worker], anyAttempt) {
+	for _, a := range sortedAttempts(c.attempts.byWorker[worker], anyAttempt) {
 		if a.holder == holder && (a.phase == attemptCommitted || a.phase == attemptRunning) {
 			c.strand(a)
 		}
@@ -309,13 +309,13 @@
 func (c *Core) strand(a *attempt) {
 	a.phase = attemptStranded
 	a.since = c.now
-	c.tries.stranded[a.id] = a
+	c.attempts.stranded[a.id] = a
 	c.counters.Stranded++
 }
 
 // workerHeld asks the new holder of a worker for this process's attempts on it.
 func (c *Core) workerHeld(from api.EntryRef, m message.WorkerHeld) {
-	for _, a := range sortedAttempts(c.tries.byWorker[m.Worker], anyAttempt) {
+	for _, a := range sortedAttempts(c.attempts.byWorker[m.Worker], anyAttempt) {
 		if a.place.Epoch >= m.Epoch && a.place.Boot == m.Boot && a.phase != attemptStranded {
 			continue
 		}
@@ -343,7 +343,7 @@
 
 // queryStranded asks all holders for attempts whose holder is lost.
 func (c *Core) queryStranded() {
-	for _, a := range sortedAttempts(c.tries.stranded, anyAttempt) {
+	for _, a := range sortedAttempts(c.attempts.stranded, anyAttempt) {
 		if !a.job.spec.Kind.Logged() && c.now.Sub(a.since) >= strandedLimit {
 			c.attemptOver(a, result{outcome: api.OutcomeUnknown, reason: errForgotten(a.id.Job)})
 			continue
@@ -358,7 +358,7 @@
 
 // attemptState handles a holder's answer about a stranded attempt.
 func (c *Core) attemptState(from api.EntryRef, m message.AttemptState) {
-	a := c.tries.byID[m.Attempt]
+	a := c.attempts.byID[m.Attempt]
 	if a == nil {
 		return
 	}
@@ -374,7 +374,7 @@
 		if m.Place.Boot == a.place.Boot && m.Place.Epoch < a.granted {
 			return // the holder has lost its lease since
 		}
-		delete(c.tries.stranded, a.id)
+		delete(c.attempts.stranded, a.id)
 		a.holder = from
 		a.place = m.Place
 		c.markRunning(a)
@@ -387,7 +387,7 @@
 
 // workerGone ends all attempts on a worker that no longer exists.
 func (c *Core) workerGone(name string) {
-	for _, a := range sortedAttempts(c.tries.byWorker[name], anyAttempt) {
+	for _, a := range sortedAttempts(c.attempts.byWorker[name], anyAttempt) {
 		if a.phase == attemptCommitted || a.phase == attemptRunning || a.phase == attemptStranded {
 			c.attemptOver(a, result{outcome: api.OutcomeUnknown, reason: errWorkerGone(name)})
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -58,7 +58,7 @@
 	workers  workers
 	held     heldTasks
 	jobs     jobTable
-	tries    attemptTable
+	attempts attemptTable
 	requests requestTable
 
 	lastSecond time.Time
@@ -88,7 +88,7 @@
 		workers:  newWorkers(),
 		held:     newHeldTasks(),
 		jobs:     newJobTable(),
-		tries:    newAttemptTable(),
+		attempts: newAttemptTable(),
 		requests: newRequestTable(),
 	}
 }
@@ -206,7 +206,7 @@
 	c.timeOutReserving()
 	c.reviewAlone()
 	c.pursueLeases()
-	c.tries.failures = 0
+	c.attempts.failures = 0
 	if c.now.Sub(c.lastSecond) < time.Second {
 		return
 	}
--- a/internal/core/dump.go
+++ b/internal/core/dump.go
@@ -108,7 +108,7 @@
 			Waiting: len(c.requests.jobs) + len(c.requests.forwards),
 		},
 		Attempts: AttemptsDump{
-			Coordinated: len(c.tries.byID), Reserving: len(c.tries.reserving), Stranded: len(c.tries.stranded),
+			Coordinated: len(c.attempts.byID), Reserving: len(c.attempts.reserving), Stranded: len(c.attempts.stranded),
 			Reservations: len(c.held.reservations), Held: len(c.held.tasks),
 		},
 	}
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -70,7 +70,7 @@
 		c.startGang(g)
 	case len(g.holders) == 0:
 		c.abandonGang(g)
-		c.tries.failures++
+		c.attempts.failures++
 		c.queue.Postpone(c.now, g.item, c.now.Add(c.jitter(2*gangDelay)))
 	default:
 		c.askForGang(g, missing)
@@ -81,11 +81,11 @@
 	g.asked = g.holders[0]
 	g.holders = g.holders[1:]
 	for _, id := range missing {
-		a := c.tries.byID[id]
+		a := c.attempts.byID[id]
 		a.phase = attemptReserving
 		a.holder = g.asked
 		a.since = c.now
-		c.tries.reserving[id] = a
+		c.attempts.reserving[id] = a
 	}
 	c.sendReserve(g.asked, g.job, missing, false)
 }
@@ -93,7 +93,7 @@
 // continueGangs goes on with the gangs that the answer of a holder belongs to.
 func (c *Core) continueGangs(from api.EntryRef, m message.Reserved) {
 	for _, id := range answeredAttempts(m) {
-		a := c.tries.byID[id]
+		a := c.attempts.byID[id]
 		if a != nil && a.gang != nil && a.gang.asked == from {
 			c.gangStep(a.gang)
 		}
@@ -147,7 +147,7 @@
 func (c *Core) requeueGangTask(j *job, it queue.Item) bool {
 	anyRuns := false
 	for i := range j.tasks {
-		a := c.tries.byTask[taskRef{j.spec.ID, i}]
+		a := c.attempts.byTask[taskRef{j.spec.ID, i}]
 		switch {
 		case a == nil && j.tasks[i].phase != taskActive:
 		case a != nil && (a.phase == attemptRunning || a.phase == attemptStranded):
--- a/internal/core/gang_test.go
+++ b/internal/core/gang_test.go
@@ -55,9 +55,9 @@
 	cell.advance(time.Second)
 	j := p.core.jobs.byID[job.ID]
 	j.tasks[0].phase = taskWaiting
-	a := p.core.tries.byTask[taskRef{job.ID, 0}]
+	a := p.core.attempts.byTask[taskRef{job.ID, 0}]
 	p.core.uncount(a)
-	p.core.tries.remove(a)
+	p.core.attempts.remove(a)
 	p.core.queue.Requeue(cell.now, j.item(0, true))
 	it, ok := p.core.queue.Next(cell.now)
 	assert.Assert(t, ok)
--- a/internal/core/log_test.go
+++ b/internal/core/log_test.go
@@ -24,7 +24,7 @@
 	assert.Equal(t, cell.ran[id], tasks)
 	for _, p := range cell.sorted() {
 		assert.Equal(t, len(p.core.jobs.byOwner), 0, "unfinished jobs at %s", p.ref)
-		assert.Equal(t, len(p.core.tries.byID), 0, "attempts at %s", p.ref)
+		assert.Equal(t, len(p.core.attempts.byID), 0, "attempts at %s", p.ref)
 	}
 }
 
@@ -111,7 +111,7 @@
 	cell.ask("e0", 1, message.OpSubmit, onceEach(1, time.Second))
 	cell.advance(time.Second)
 	c := cell.procs["e0"].core
-	for len(c.tries.byID) == 0 || c.tries.byID[sortedAttempts(c.tries.byID, anyAttempt)[0].id].phase != attemptClosing {
+	for len(c.attempts.byID) == 0 || c.attempts.byID[sortedAttempts(c.attempts.byID, anyAttempt)[0].id].phase != attemptClosing {
 		cell.step()
 	}
 	for _, j := range c.jobs.byOwner[c.cfg.Self] {
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -202,13 +202,13 @@
 	}
 	c.members.usedAt = c.now
 	changed := make(map[string]api.Resources)
-	for team, now := range c.tries.teamUse {
+	for team, now := range c.attempts.teamUse {
 		if differs(now, c.members.sharedUse[team]) {
 			changed[team] = now
 		}
 	}
 	for team := range c.members.sharedUse {
-		if _, used := c.tries.teamUse[team]; !used {
+		if _, used := c.attempts.teamUse[team]; !used {
 			changed[team] = api.Resources{}
 		}
 	}
--- a/internal/core/orphans_test.go
+++ b/internal/core/orphans_test.go
@@ -113,7 +113,7 @@
 	id := sortedKeys(l.core.jobs.byID)[0]
 	accept := record.Record{Writer: l.core.cfg.Self, Sequence: 1, Accept: &record.Accept{Job: l.core.jobs.byID[id].spec}}
 	l.step(RecordRead{Offset: 0, Record: accept})
-	assert.Equal(t, len(l.core.tries.byID), 1)
+	assert.Equal(t, len(l.core.attempts.byID), 1)
 	other := &logReader{lone: l, writer: peerRef, offset: 1}
 	other.read(record.Record{Adopt: &record.Adopt{JobID: id, Replaces: 0}})
 	other.read(record.Record{Cancel: &record.Cancel{JobID: id}})
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -33,7 +33,7 @@
 		return
 	}
 	for range maxPlacementsPerStep {
-		if c.tries.failures >= maxFailuresPerTick || len(c.tries.reserving) >= maxReserving {
+		if c.attempts.failures >= maxFailuresPerTick || len(c.attempts.reserving) >= maxReserving {
 			return
 		}
 		it, ok := c.queue.Next(c.now)
@@ -76,7 +76,7 @@
 	a.holder = holder
 	a.since = c.now
 	a.phase = attemptReserving
-	c.tries.reserving[a.id] = a
+	c.attempts.reserving[a.id] = a
 	a.tried = append(a.tried, holder.Name)
 	if p := c.members.peers[holder.Name]; p != nil {
 		p.promised = p.promised.Add(a.job.spec.Resources)
@@ -189,12 +189,12 @@
 // reserved handles a holder's answer to Reserve.
 func (c *Core) reserved(from api.EntryRef, m message.Reserved) {
 	for _, place := range m.Places {
-		a := c.tries.byID[place.Attempt]
+		a := c.attempts.byID[place.Attempt]
 		if a == nil || a.phase != attemptReserving || a.holder != from {
 			c.send(from, message.Release{Attempts: []api.AttemptID{place.Attempt}})
 			continue
 		}
-		delete(c.tries.reserving, a.id)
+		delete(c.attempts.reserving, a.id)
 		a.place = place
 		a.phase = attemptReserved
 		if a.gang == nil {
@@ -202,11 +202,11 @@
 		}
 	}
 	for _, id := range m.Refused {
-		a := c.tries.byID[id]
+		a := c.attempts.byID[id]
 		if a == nil || a.phase != attemptReserving || a.holder != from {
 			continue
 		}
-		delete(c.tries.reserving, a.id)
+		delete(c.attempts.reserving, a.id)
 		a.phase = attemptRefused
 		c.reserveNext(a)
 	}
@@ -219,11 +219,11 @@
 	if c.policy == nil {
 		return
 	}
-	for _, a := range sortedAttempts(c.tries.reserving, anyAttempt) {
+	for _, a := range sortedAttempts(c.attempts.reserving, anyAttempt) {
 		if c.now.Sub(a.since) < c.policy.timing.reserveTimeout {
 			continue
 		}
-		if c.tries.reserving[a.id] == a {
+		if c.attempts.reserving[a.id] == a {
 			c.leaveHolder(a)
 		}
 	}
@@ -231,7 +231,7 @@
 
 // leaveHolder gives up on the holder that was asked and asks the next one.
 func (c *Core) leaveHolder(a *attempt) {
-	delete(c.tries.reserving, a.id)
+	delete(c.attempts.reserving, a.id)
 	a.phase = attemptRefused
 	c.send(a.holder, message.Release{Attempts: []api.AttemptID{a.id}})
 	if a.gang != nil {
@@ -243,9 +243,9 @@
 
 // postpone puts a task without room back into the queue.
 func (c *Core) postpone(a *attempt) {
-	c.tries.failures++
+	c.attempts.failures++
 	c.counters.NoRoom++
-	c.tries.remove(a)
+	c.attempts.remove(a)
 	c.queue.Postpone(c.now, a.item, c.now.Add(c.jitter(postponeDelay)))
 }
 
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -202,7 +202,7 @@
 	if writer != c.cfg.Self {
 		return
 	}
-	a := c.tries.byID[m.Attempt]
+	a := c.attempts.byID[m.Attempt]
 	if a == nil || a.phase != attemptLogging {
 		return
 	}
@@ -232,7 +232,7 @@
 	if t == nil || t.phase == taskDone || t.attempts != m.Attempt.Number {
 		return
 	}
-	a := c.tries.byID[m.Attempt]
+	a := c.attempts.byID[m.Attempt]
 	// The coordinator may have decided to retry before it read the cancellation.
 	m.Retry = m.Retry && !j.cancelled
 	if m.Retry {
@@ -253,7 +253,7 @@
 
 // closeAttempt finishes an attempt of this process whose end is in the log.
 func (c *Core) closeAttempt(a *attempt, m record.End) {
-	c.tries.remove(a)
+	c.attempts.remove(a)
 	if m.Outcome != api.OutcomeNotRun {
 		c.send(a.holder, message.Acknowledge{Attempts: []api.AttemptID{a.id}})
 	}
@@ -316,7 +316,7 @@
 	list := make([]record.TaskProgress, len(j.tasks))
 	for i, t := range j.tasks {
 		list[i] = record.TaskProgress{Attempts: t.attempts, Outcome: t.outcome}
-		if a := c.tries.byTask[taskRef{j.spec.ID, i}]; a != nil && a.phase == attemptClosing {
+		if a := c.attempts.byTask[taskRef{j.spec.ID, i}]; a != nil && a.phase == attemptClosing {
 			if !a.end.Retry {
 				list[i].Outcome = a.end.Outcome
 			}
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -28,12 +28,12 @@
 		a.job.ran = true
 	}
 	retry := c.shouldRetry(a, res)
-	delete(c.tries.stranded, a.id)
+	delete(c.attempts.stranded, a.id)
 	if a.job.spec.Kind.Logged() {
 		c.closeLogged(a, res, retry)
 		return
 	}
-	c.tries.remove(a)
+	c.attempts.remove(a)
 	if res.outcome != api.OutcomeNotRun {
 		c.send(a.holder, message.Acknowledge{Attempts: []api.AttemptID{a.id}})
 	}
@@ -97,7 +97,7 @@
 	if isLost(j, res) && !c.queue.AllowRetry(j.spec.Class) {
 		delay = time.Duration(c.rng.Int64N(int64(lostRetrySpread)))
 	}
-	c.tries.delayed = append(c.tries.delayed, delayedItem{at: c.now.Add(c.jitter(delay)), item: it})
+	c.attempts.delayed = append(c.attempts.delayed, delayedItem{at: c.now.Add(c.jitter(delay)), item: it})
 }
 
 // delayedItem is a task that waits for the time of its next attempt. It is kept
@@ -109,13 +109,13 @@
 
 // requeueDelayed puts tasks whose pause is over back into the queue.
 func (c *Core) requeueDelayed() {
-	kept := c.tries.delayed[:0]
-	for _, d := range c.tries.delayed {
+	kept := c.attempts.delayed[:0]
+	for _, d := range c.attempts.delayed {
 		if d.at.After(c.now) || !c.requeueNow(d.item) {
 			kept = append(kept, d)
 		}
 	}
-	c.tries.delayed = kept
+	c.attempts.delayed = kept
 }
 
 // requeueNow puts a task back into the queue if it still waits. It returns false if
@@ -137,7 +137,7 @@
 	if j == nil || j.phase != phaseOpen || j.owner != c.cfg.Self || j.cancelled {
 		return false
 	}
-	return j.tasks[key.Task].phase == taskWaiting && c.tries.byTask[taskRef{key.JobID, key.Task}] == nil
+	return j.tasks[key.Task].phase == taskWaiting && c.attempts.byTask[taskRef{key.JobID, key.Task}] == nil
 }
 
 // settle gives a task of an unlogged job its final result.
--- a/internal/core/stop.go
+++ b/internal/core/stop.go
@@ -82,7 +82,7 @@
 	if len(c.jobs.logging) > 0 {
 		return true
 	}
-	for _, a := range c.tries.byID {
+	for _, a := range c.attempts.byID {
 		if a.phase == attemptLogging || a.phase == attemptClosing {
 			return true
 		}
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -224,7 +224,7 @@
 		return
 	}
 	c.queue.Cancel(j.item(number, false).Key)
-	a := c.tries.byTask[taskRef{j.spec.ID, number}]
+	a := c.attempts.byTask[taskRef{j.spec.ID, number}]
 	switch {
 	case a == nil && t.phase == taskWaiting:
 		c.taskOver(j, number, api.OutcomeNotRun)
