--- a/internal/api/answer.go
+++ b/internal/api/answer.go
@@ -2,7 +2,7 @@
 
 import "github.com/fulmarlatch/fulmarlatch/internal/fault"
 
-// Outcome is the one result that a caller hears.
+// Outcome is the one result that a caller receives.
 type Outcome string
 
 // Outcomes of jobs and attempts.
--- a/internal/api/worker.go
+++ b/internal/api/worker.go
@@ -45,7 +45,7 @@
 	Payload     []byte    `json:"payload,omitempty" cbor:"9,keyasint,omitempty"`
 }
 
-// TaskReport is a worker's word on one attempt. Payload is not repeated.
+// TaskReport is a worker's report on one attempt. Payload is not repeated.
 type TaskReport struct {
 	Spec    TaskSpec  `json:"spec" cbor:"1,keyasint"`
 	State   TaskState `json:"state" cbor:"2,keyasint"`
--- a/internal/caller/config.go
+++ b/internal/caller/config.go
@@ -13,7 +13,7 @@
 // and return errors as *fault.Error.
 type Backend interface {
 	// Do carries out one operation. A refusal is an answer with outcome not_run.
-	// An error means that there is no answer, and the caller hears unknown. Do
+	// An error means that there is no answer, and the caller receives unknown. Do
 	// returns soon after ctx has ended. For operations other than submit only ID
 	// and Team of the job are set.
 	Do(ctx context.Context, operation message.Operation, job api.Job) (api.Answer, error)
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -72,7 +72,7 @@
 func (s *Server) Drain() { s.drain.Store(true) }
 
 // Shutdown stops accepting connections and returns when the requests in
-// progress have been answered. If ctx ends first, the remaining callers hear
+// progress have been answered. If ctx ends first, the remaining callers receive
 // outcome unknown, and the error of ctx is returned.
 func (s *Server) Shutdown(ctx context.Context) error {
 	defer s.cancel()
--- a/internal/core/caller_test.go
+++ b/internal/core/caller_test.go
@@ -75,7 +75,7 @@
 }
 
 // TestMintedBatchRetried guards against a retry of an accepted job that waits for
-// the job's end, or hears unknown when the process that accepted it is gone.
+// the job's end, or receives unknown when the process that accepted it is gone.
 func TestMintedBatchRetried(t *testing.T) {
 	cell := warmCell(t, 2, 2)
 	job := batch(api.KindBatch, 2, time.Minute)
--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -253,7 +253,7 @@
 	}
 }
 
-// dropLink closes the link for both sides; a paused process hears of it later.
+// dropLink closes the link for both sides; a paused process learns of it later.
 func (cell *fakeCell) dropLink(p, other *fakeProcess) {
 	p.seenDown[other.ref.Name] = true
 	p.inbox = append(p.inbox, PeerDown{Ref: other.ref})
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	spec := runningAt(id, peerRef).Spec
 	spec.Attempt = api.AttemptID{}
-	answer := l.hear(message.Reserve{Attempts: []api.AttemptID{id}, Spec: spec, TTLMS: 2000}).(message.Reserved)
+	answer := l.receive(message.Reserve{Attempts: []api.AttemptID{id}, Spec: spec, TTLMS: 2000}).(message.Reserved)
 	assert.Equal(t, len(answer.Places), 1)
 	return answer.Places[0]
 }
@@ -41,7 +41,7 @@
 	}{
 		"live":     {before: func(*lone, *message.Place) {}, starts: true},
 		"never":    {before: func(_ *lone, p *message.Place) { p.Attempt = attemptID("e1.1.2", 1) }},
-		"released": {before: func(l *lone, _ *message.Place) { l.hear(message.Release{Attempts: []api.AttemptID{id}}) }},
+		"released": {before: func(l *lone, _ *message.Place) { l.receive(message.Release{Attempts: []api.AttemptID{id}}) }},
 		"queried":  {before: func(l *lone, _ *message.Place) { l.query(id, 5, 2, 0) }},
 		"expired":  {before: func(l *lone, _ *message.Place) { l.now = l.now.Add(2 * time.Second) }},
 		"epoch":    {before: func(_ *lone, p *message.Place) { p.Epoch-- }},
--- a/internal/core/holder_test.go
+++ b/internal/core/holder_test.go
@@ -38,8 +38,8 @@
 
 func (l *lone) step(ev Event) []Action { return l.core.Step(l.now, ev) }
 
-// hear passes a message from e1 and returns the first answer to it.
-func (l *lone) hear(m message.Message) message.Message {
+// receive passes a message from e1 and returns the first answer to it.
+func (l *lone) receive(m message.Message) message.Message {
 	for _, action := range l.step(PeerMessage{From: peerRef, Message: m}) {
 		if s, ok := action.(Send); ok && s.To == peerRef {
 			return s.Message
@@ -53,7 +53,7 @@
 }
 
 func (l *lone) query(id api.AttemptID, epoch, boot, claim uint64) message.Message {
-	return l.hear(message.QueryAttempt{Attempt: id, Worker: "w00", Epoch: epoch, Boot: boot, Claim: claim})
+	return l.receive(message.QueryAttempt{Attempt: id, Worker: "w00", Epoch: epoch, Boot: boot, Claim: claim})
 }
 
 // TestQueryUnderLaterLease guards against a holder that resumes after a pause, has
@@ -115,7 +115,7 @@
 	spec.Attempt = api.AttemptID{}
 	l.step(PeerMessage{From: other, Message: message.Reserve{Attempts: []api.AttemptID{id}, Spec: spec, TTLMS: 5000}})
 	place := message.Place{Attempt: id, Worker: "w00", Epoch: 5, Boot: 2}
-	_, refused := l.hear(message.Commit{Place: place}).(message.StartRefused)
+	_, refused := l.receive(message.Commit{Place: place}).(message.StartRefused)
 	assert.Assert(t, refused)
 	starts := 0
 	for _, action := range l.step(PeerMessage{From: other, Message: message.Commit{Place: place}}) {
--- a/internal/core/identity.go
+++ b/internal/core/identity.go
@@ -130,7 +130,7 @@
 	return j.progress()
 }
 
-// attach makes the waiter hear the job's final answer.
+// attach makes the waiter receive the job's final answer.
 func (c *Core) attach(w waiter, j *job) {
 	if j.final != nil {
 		c.reply(w, *j.final)
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -237,7 +237,7 @@
 	}
 }
 
-// peerUse takes a peer's word on the use by teams.
+// peerUse takes a peer's report on the use by teams.
 func (c *Core) peerUse(from api.EntryRef, m message.TeamUse) {
 	p := c.members.peers[from.Name]
 	if p == nil || p.ref != from {
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -81,7 +81,7 @@
 }
 
 func errKeyTaken() *fault.Error {
-	return fault.New(fault.Conflict, "another request claimed the idempotency key first", "send the request again to hear the answer of the first one")
+	return fault.New(fault.Conflict, "another request claimed the idempotency key first", "send the request again to receive the answer of the first one")
 }
 
 // openParked lets the tasks of a job run whose own record was read.
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -129,7 +129,7 @@
 	Claim uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// AttemptStatus is a holder's word on a queried attempt.
+// AttemptStatus is a holder's answer about a queried attempt.
 type AttemptStatus string
 
 // Statuses of a queried attempt.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -57,7 +57,7 @@
 }
 
 // changed takes changes of the VM list: entry VMs become peers, and the core
-// hears of all.
+// learns of all.
 func (l *memberList) changed(vms []api.VM, full bool) {
 	if full {
 		clear(l.entries)
--- a/internal/upstream/commands.go
+++ b/internal/upstream/commands.go
@@ -146,7 +146,7 @@
 }
 
 // unreadable turns a report whose answer cannot be read into a failure, so that
-// the caller hears of it instead of receiving a part of the answer.
+// the caller learns of it instead of receiving a part of the answer.
 func unreadable(report api.TaskReport, err error) api.TaskReport {
 	report.Outcome = api.OutcomeFailed
 	report.Error = "the answer cannot be read: " + err.Error()
--- a/test/identity_test.go
+++ b/test/identity_test.go
@@ -49,7 +49,7 @@
 				c.awaitLinks(owner, 0)
 			},
 			end: func(c *cell) { c.entries[owner].peers.set(proxyFaults{}) }},
-		{name: "owner does not hear its peers",
+		{name: "owner receives nothing from its peers",
 			act: func(c *cell) {
 				c.entries[owner].peers.set(proxyFaults{DropToServer: true})
 				c.awaitLinks(owner, 0)
--- a/test/load_test.go
+++ b/test/load_test.go
@@ -14,7 +14,7 @@
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 )
 
-// callerResult is a submitted job and what its caller heard.
+// callerResult is a submitted job and what its caller received.
 type callerResult struct {
 	job    api.Job
 	answer api.Answer
--- a/test/rolls_test.go
+++ b/test/rolls_test.go
@@ -27,7 +27,7 @@
 const rollBound = 6 * time.Second
 
 // TestRollInTime guards against a roll that takes more than 6 s to be in force at
-// every entry process, also where one of them does not hear of it from the log.
+// every entry process, also where one of them does not learn of it from the log.
 func TestRollInTime(t *testing.T) {
 	for _, test := range []struct {
 		name  string
--- a/test/stop_test.go
+++ b/test/stop_test.go
@@ -116,7 +116,7 @@
 	}
 }
 
-// TestPlannedStopUnderLoad guards against a caller that is cut off, or that hears
+// TestPlannedStopUnderLoad guards against a caller that is cut off, or that receives
 // something false, while every process of the cell is replaced one after the other.
 func TestPlannedStopUnderLoad(t *testing.T) {
 	t.Parallel()
