Read the log in smaller batches after a failed read; read hashes back

Cause: a starting process never caught up over a link of about 280 KB/s, because a page of 1 MiB did not arrive within 2 s. A dump's roll could not be decoded, because a hash had no UnmarshalText. Ruled out: a longer bound, with which a dead log is noticed later. Before: TestSlowLink does not reach the end. After: a failed read quarters the batch and each good one lets it grow by a quarter. Conclusion: on such a link the log counts as down for moments while it is read for the first time.

--- a/internal/bundle/check_test.go
+++ b/internal/bundle/check_test.go
@@ -147,3 +147,14 @@
 		assert.NilError(t, err)
 	}
 }
+
+// TestHashText guards against dumps that name a roll and cannot be read back.
+func TestHashText(t *testing.T) {
+	want := HashOf([]byte("x"))
+	text, err := want.MarshalText()
+	assert.NilError(t, err)
+	var got Hash
+	assert.NilError(t, got.UnmarshalText(text))
+	assert.Equal(t, got, want)
+	assert.ErrorContains(t, got.UnmarshalText(text[1:]), "hexadecimal digits")
+}
--- a/internal/bundle/section.go
+++ b/internal/bundle/section.go
@@ -24,6 +24,15 @@
 // MarshalText returns the hash in hexadecimal.
 func (h Hash) MarshalText() ([]byte, error) { return []byte(h.String()), nil }
 
+// UnmarshalText is the reverse of MarshalText.
+func (h *Hash) UnmarshalText(text []byte) error {
+	if hex.DecodedLen(len(text)) != len(h) {
+		return fmt.Errorf("a hash has %d hexadecimal digits, not %d", hex.EncodedLen(len(h)), len(text))
+	}
+	_, err := hex.Decode(h[:], text)
+	return err
+}
+
 // Sections of a bundle, in the order of SectionHashes.
 const (
 	sectionClasses = iota
--- a/internal/platformlog/platformlog_test.go
+++ b/internal/platformlog/platformlog_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -37,7 +41,11 @@
 	defer r.mu.Unlock()
 	r.gaps = append(r.gaps, fmt.Sprint(from, "-", oldest))
 }
-func (r *reader) CaughtUp() { r.caughtUp++ }
+func (r *reader) CaughtUp() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.caughtUp++
+}
 func (r *reader) State(up bool, _ error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -198,3 +206,27 @@
 	}
 	r.waitUntil(t, "records", func() bool { return len(r.records) == 60 })
 }
+
+// TestSlowLink guards against a tail that never catches up because a full batch
+// does not arrive in time: the log here answers small reads only.
+func TestSlowLink(t *testing.T) {
+	const end, largest = 300, 20
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+		limit, _ := strconv.ParseUint(r.URL.Query().Get("max"), 10, 64)
+		if limit > largest {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		response := platformlog.ReadResponse{Next: end}
+		for offset := from; offset < min(from+limit, end); offset++ {
+			response.Records = append(response.Records, platformlog.Record{Offset: offset})
+		}
+		_ = json.NewEncoder(w).Encode(response)
+	}))
+	defer server.Close()
+	client := platformlog.NewClient(server.Listener.Addr().String())
+	t.Cleanup(client.Close)
+	r := follow(t, client)
+	r.waitUntil(t, "the end of the stream", func() bool { return r.caughtUp == 1 })
+}
--- a/internal/platformlog/tail.go
+++ b/internal/platformlog/tail.go
@@ -13,7 +13,7 @@
 // stops answering is noticed within CallBound.
 const (
 	tailWait      = time.Second
-	tailBatch     = 1000 // records in one read
+	tailBatch     = 1000 // most records in one read
 	tailRetryWait = 200 * time.Millisecond
 )
 
@@ -40,6 +40,7 @@
 	caught  bool
 	known   bool // a state has been reported
 	up      bool
+	batch   int // records to ask for; less after a failed read
 
 	mu      sync.Mutex
 	next    uint64        // the offset after the last record that was handled
@@ -48,7 +49,7 @@
 
 // NewTail returns a tail of stream.
 func NewTail(client *Client, stream string, handler Handler) *Tail {
-	return &Tail{client: client, stream: stream, handler: handler, changed: make(chan struct{})}
+	return &Tail{client: client, stream: stream, handler: handler, batch: tailBatch, changed: make(chan struct{})}
 }
 
 // Run follows the stream until ctx ends and returns ctx's error. Called again
@@ -69,10 +70,13 @@
 	if !t.caught || !t.up {
 		wait = 0
 	}
-	response, err := t.client.read(ctx, t.stream, from, tailBatch, wait, CallBound)
+	response, err := t.client.read(ctx, t.stream, from, t.batch, wait, CallBound)
 	if err != nil {
+		// A slow link may not carry a full batch within CallBound.
+		t.batch = max(t.batch/4, 1)
 		return err
 	}
+	t.batch = min(t.batch+t.batch/4+1, tailBatch)
 	if response.Next < from {
 		return fault.New(fault.LogDown,
 			fmt.Sprintf("stream %s ends at offset %d, but records up to %d were read before", t.stream, response.Next, from),
