--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -30,7 +30,7 @@
 	job       *job
 	item      queue.Item
 	gang      *gang      // while the gang looks for room
-	mates     []*attempt // of a gang that starts as a whole, this one included
+	group     []*attempt // of a gang that starts as a whole, this one included
 	logged    bool       // its start record was read
 	phase     attemptPhase
 	holder    api.EntryRef
--- a/internal/core/gang.go
+++ b/internal/core/gang.go
@@ -114,7 +114,7 @@
 	c.queue.Cancel(g.item.Key)
 	for _, a := range g.attempts {
 		a.gang = nil
-		a.mates = g.attempts
+		a.group = g.attempts
 	}
 	for _, a := range g.attempts {
 		c.proceed(a)
@@ -124,15 +124,15 @@
 // commitGang commits a gang once all of its start records were read. If one of the
 // reservations may have expired meanwhile, none is committed and the whole gang
 // looks for room again.
-func (c *Core) commitGang(mates []*attempt) {
-	isWhole := !mates[0].job.cancelled
-	for _, a := range mates {
+func (c *Core) commitGang(group []*attempt) {
+	isWhole := !group[0].job.cancelled
+	for _, a := range group {
 		if !a.logged || a.phase != attemptLogging {
 			return
 		}
 		isWhole = isWhole && c.isUp(a.holder) && c.now.Sub(a.since) < c.policy.timing.reservationTTL*3/4
 	}
-	for _, a := range mates {
+	for _, a := range group {
 		if isWhole {
 			c.commit(a)
 			continue
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -132,11 +132,11 @@
 // mayPreempt reports whether a task has waited long enough to stop others: for
 // preemptAfter, or a quarter of the time until its deadline if that is less.
 func (c *Core) mayPreempt(a *attempt) bool {
-	patience := preemptAfter
+	wait := preemptAfter
 	if !a.item.Deadline.IsZero() {
-		patience = min(patience, a.item.Deadline.Sub(a.item.Submitted)/4)
+		wait = min(wait, a.item.Deadline.Sub(a.item.Submitted)/4)
 	}
-	return c.now.Sub(a.item.Submitted) >= patience && c.hasLessUrgent(a.job.spec.Class)
+	return c.now.Sub(a.item.Submitted) >= wait && c.hasLessUrgent(a.job.spec.Class)
 }
 
 // hasLessUrgent reports whether tasks of some class may be preempted for class.
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -208,8 +208,8 @@
 	}
 	a.logged = true
 	switch {
-	case a.mates != nil:
-		c.commitGang(a.mates)
+	case a.group != nil:
+		c.commitGang(a.group)
 	case j.cancelled:
 		c.voidLogged(a, errCancelled())
 	default:
