Use one function to wait for a time or the end of a context

Cause: peer, standin and platformlog each had the same sleep. Ruled out: the wait of the load generator, which handles a pause of zero differently; test tables of the same shape, which check different things. Before: three copies. After: clock.Sleep; tests of the packages that changed and of upstream and vmlist pass, vet and staticcheck are clean. Conclusion: no change of behaviour.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -8,6 +8,7 @@
 
 	"github.com/fasthttp/websocket"
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/clock"
 	"go.uber.org/zap"
 )
 
@@ -49,7 +50,7 @@
 		} else {
 			s.mesh.cfg.Logger.Debug("dial failed", zap.String("peer", s.name), zap.Error(err))
 		}
-		if !sleep(s.ctx, jitter(pause)) {
+		if !clock.Sleep(s.ctx, jitter(pause)) {
 			return
 		}
 		pause = min(2*pause, maxBackOff)
@@ -62,17 +63,6 @@
 	return d/2 + rand.N(d/2)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // dial opens both connections and installs the link.
 func (s *slot) dial() (*link, error) {
 	id := rand.Uint64()
--- a/internal/platformlog/appender.go
+++ b/internal/platformlog/appender.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/fulmarlatch/fulmarlatch/internal/clock"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 	"github.com/fulmarlatch/fulmarlatch/internal/httpjson"
 )
@@ -102,7 +103,7 @@
 		}
 		began := time.Now()
 		a.append(ctx, batch)
-		sleep(ctx, a.pause-time.Since(began))
+		clock.Sleep(ctx, a.pause-time.Since(began))
 	}
 	return ctx.Err()
 }
@@ -141,7 +142,7 @@
 	case err == nil:
 		a.forget(batch)
 	case status == http.StatusTooManyRequests:
-		sleep(ctx, time.Duration(fault.As(err).RetryAfterMS)*time.Millisecond)
+		clock.Sleep(ctx, time.Duration(fault.As(err).RetryAfterMS)*time.Millisecond)
 	case status >= 400 && status < 500:
 		a.refuse(batch, err)
 	default:
@@ -158,7 +159,7 @@
 			_ = a.tail.WaitFor(ctx, response.Next) // only fails when ctx ends
 			return
 		}
-		sleep(ctx, resolveRetryWait)
+		clock.Sleep(ctx, resolveRetryWait)
 	}
 }
 
--- a/internal/platformlog/tail.go
+++ b/internal/platformlog/tail.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/fulmarlatch/fulmarlatch/internal/clock"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 )
 
@@ -58,7 +59,7 @@
 	for ctx.Err() == nil {
 		if err := t.step(ctx); err != nil && ctx.Err() == nil {
 			t.state(false, err)
-			sleep(ctx, tailRetryWait)
+			clock.Sleep(ctx, tailRetryWait)
 		}
 	}
 	return ctx.Err()
@@ -151,12 +152,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -10,6 +10,7 @@
 	"github.com/gofiber/fiber/v3"
 	"golang.org/x/time/rate"
 
+	"github.com/fulmarlatch/fulmarlatch/internal/clock"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 	"github.com/fulmarlatch/fulmarlatch/internal/platformlog"
 )
@@ -79,7 +80,7 @@
 	faults := l.faults
 	l.mu.Unlock()
 	if faults.DelayMS > 0 {
-		sleep(l.ctx, milliseconds(faults.DelayMS))
+		clock.Sleep(l.ctx, milliseconds(faults.DelayMS))
 	}
 	if faults.Down {
 		return fault.New(fault.LogDown, "the log service is down", "wait until it is up")
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/clock"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 )
 
@@ -146,7 +147,7 @@
 }
 
 func (p *Platform) sweep() {
-	for sleep(p.ctx, sweepInterval) {
+	for clock.Sleep(p.ctx, sweepInterval) {
 		now := time.Now()
 		for _, w := range p.workers {
 			w.sweep(now)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -99,18 +99,6 @@
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// sleep returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // broadcast wakes all waiters. The owner guards it with its own lock.
 type broadcast chan struct{}
 
--- a/internal/standin/sweep.go
+++ b/internal/standin/sweep.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/clock"
 	"github.com/fulmarlatch/fulmarlatch/internal/upstream"
 )
 
@@ -71,7 +72,7 @@
 	delay := w.faults.delay
 	w.mu.Unlock()
 	if delay > 0 {
-		sleep(w.ctx, delay)
+		clock.Sleep(w.ctx, delay)
 	}
 	return w.awake()
 }
@@ -82,7 +83,7 @@
 		w.mu.Lock()
 		gone, pause := w.faults.gone, time.Until(w.faults.pauseUntil)
 		w.mu.Unlock()
-		if gone || pause <= 0 || !sleep(w.ctx, pause) {
+		if gone || pause <= 0 || !clock.Sleep(w.ctx, pause) {
 			return !gone
 		}
 	}
