Use a worker once the log names it, keep scheduler passes independent of idle workers

Cause: a worker was used as soon as it had listed its tasks. A holder that died before the record of workers was stored left a worker that the next one did not wait for. Every pass also rebuilt the set of workers, visited all ends and all sessions. Ruled out: an append for each worker; one record names all that joined. Before: TestWorkerIsUsedOnceTheLogNamesIt fails (2 starts). Conclusion: the cost of a pass no longer grows with workers that nothing happens on.

--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -37,6 +37,13 @@
 	Workers []string
 }
 
+// Acknowledge lets a worker forget its ends up to a number, from its next renewal
+// on.
+type Acknowledge struct {
+	Worker string
+	Number uint64
+}
+
 // Persist writes the newest record of a key; a nil Value drops the key. The
 // holder reports Stored(Seq) once it and all before it are in the log.
 type Persist struct {
@@ -109,12 +116,13 @@
 // endEvents are the events of final states.
 var endEvents = map[State]Event{Completed: EventJobCompleted, Failed: EventJobFailed, Cancelled: EventJobCancelled}
 
-func (Start) isAction()     {}
-func (Stop) isAction()      {}
-func (Pace) isAction()      {}
-func (AskPolicy) isAction() {}
-func (Persist) isAction()   {}
-func (Decision) isAction()  {}
+func (Start) isAction()       {}
+func (Stop) isAction()        {}
+func (Pace) isAction()        {}
+func (AskPolicy) isAction()   {}
+func (Acknowledge) isAction() {}
+func (Persist) isAction()     {}
+func (Decision) isAction()    {}
 
 // StartOutcome is how a worker answered a start.
 type StartOutcome int
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -30,7 +30,7 @@
 		p.seq = j.recordSeq
 	}
 	w.ends = append(w.ends, p)
-	w.releaseEnds(s.stored)
+	s.releaseEnds(w)
 }
 
 // applyEnd advances the task by the end of one of its runs.
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -38,6 +38,7 @@
 		return false
 	}
 	for _, p := range plan {
+		s.reserved = append(s.reserved, p.worker)
 		p.worker.reservations = append(p.worker.reservations, reservation{
 			step:  st,
 			start: p.start,
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -11,6 +11,10 @@
 			w = &worker{attempts: map[runKey]*attempt{}, foreign: map[runKey]bool{}}
 			s.workers[info.ID] = w
 			s.unaskedSince = s.now + 1
+			if !s.before[info.ID] {
+				w.namedBy = unwritten
+				s.rename = true
+			}
 		}
 		if info.Draining && !w.Draining {
 			s.act(Decision{Event: EventWorkerDraining, Worker: info.ID, AgeMS: info.LeavesInMS})
@@ -21,7 +25,7 @@
 	for id, w := range s.workers {
 		w.listed = listed[id]
 		if !w.listed && !w.fenced && len(w.attempts) == 0 {
-			delete(s.workers, id)
+			s.forgetWorker(w)
 		}
 	}
 }
@@ -29,7 +33,7 @@
 // Lapsed notes that a worker can run nothing that it was told before: its lease
 // has run out. Its tasks are placed again.
 func (s *Scheduler) Lapsed(workerID string) {
-	delete(s.before, workerID)
+	s.heard(workerID)
 	w := s.workers[workerID]
 	if w == nil {
 		return
@@ -41,7 +45,22 @@
 	w.fenced = false
 	clear(w.foreign)
 	if !w.listed {
-		delete(s.workers, workerID)
+		s.forgetWorker(w)
+	}
+}
+
+// forgetWorker drops a worker that has left and can run nothing any more.
+func (s *Scheduler) forgetWorker(w *worker) {
+	delete(s.workers, w.ID)
+	delete(s.unstored, w)
+	s.rename = true
+}
+
+// heard notes that a worker of an earlier holder can run nothing unknown.
+func (s *Scheduler) heard(workerID string) {
+	if s.before[workerID] {
+		delete(s.before, workerID)
+		s.rename = s.rename || s.workers[workerID] == nil
 	}
 }
 
@@ -55,7 +74,7 @@
 
 // Listed takes the list of a worker's running and ended tasks.
 func (s *Scheduler) Listed(l Listing) {
-	delete(s.before, l.Worker)
+	s.heard(l.Worker)
 	w := s.workers[l.Worker]
 	if w == nil {
 		return
@@ -63,10 +82,10 @@
 	if w.fenced && w.life != l.Life {
 		s.act(Decision{Event: EventWorkerRestarted, Failed: true, Worker: w.ID, AgeMS: int64(len(w.attempts))})
 		s.loseAttempts(w)
-		w.restart()
+		s.restart(w)
 	}
 	if !w.fenced {
-		w.restart()
+		s.restart(w)
 		w.fenced = true
 	}
 	w.life = l.Life
@@ -84,8 +103,10 @@
 }
 
 // restart forgets what belongs to an earlier life of the worker.
-func (w *worker) restart() {
-	w.lastEnd, w.acknowledged, w.ends = 0, 0, nil
+func (s *Scheduler) restart(w *worker) {
+	w.lastEnd, w.ends = 0, nil
+	delete(s.unstored, w)
+	s.acknowledge(w, 0)
 	clear(w.foreign)
 }
 
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -39,9 +39,10 @@
 // their latest starts. Steps that can no longer be on time come after those that
 // can.
 func (s *Scheduler) place() {
-	for _, w := range s.workers {
+	for _, w := range s.reserved {
 		w.reservations = w.reservations[:0]
 	}
+	s.reserved = s.reserved[:0]
 	reserving, tries, position := 0, 0, 0
 	order := s.order()
 	for _, st := range order {
@@ -158,7 +159,7 @@
 
 // suits reports whether the worker could run tasks of the step if it had room.
 func (s *Scheduler) suits(st *step, w *worker) bool {
-	return w.Service == st.job.Queue.Service && w.takesWork(s.now) && w.hasLabel(st.def.Label) &&
+	return w.Service == st.job.Queue.Service && w.takesWork(s.now) && s.isNamed(w) && w.hasLabel(st.def.Label) &&
 		w.health.allows(s.now, len(w.attempts)) && w.Capacity.Fits(st.demand)
 }
 
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -39,7 +39,6 @@
 	}
 	for _, id := range old.Workers {
 		s.before[id] = true
-		s.roster[id] = true
 	}
 	return nil
 }
--- a/internal/cell/restore_test.go
+++ b/internal/cell/restore_test.go
@@ -49,3 +49,21 @@
 	assert.Equal(t, len(r.starts), 2, "the gang was started again")
 	assert.Equal(t, r.state(jobID(1)), Completed)
 }
+
+// A new holder waits only for the workers that the log names. A worker that joins
+// must run nothing before the log names it: the next holder would start its tasks
+// again elsewhere.
+func TestWorkerIsUsedOnceTheLogNamesIt(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	assert.Equal(t, len(r.starts), 1)
+	r.silent = true
+	r.workers["new"] = &rigWorker{}
+	r.infos = append(r.infos, WorkerInfo{ID: "new", Service: "svc", Capacity: Resources{CPUMilli: 1000, MemoryMB: 1000}})
+	r.s.SetWorkers(r.infos)
+	r.pass(10)
+	assert.Equal(t, len(r.starts), 1, "the log does not name the worker yet")
+	r.s.Stored(r.s.seq)
+	r.turn()
+	assert.Equal(t, len(r.starts), 2)
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -1,9 +1,6 @@
 package cell
 
-import (
-	"maps"
-	"math"
-)
+import "math"
 
 // job is a job with its progress. The scheduler owns it.
 type job struct {
@@ -123,6 +120,9 @@
 	held         bool          // kept free for the upkeep of its machine
 	pacedAt      Instant       // when fillers were last paced
 	reservations []reservation // of the present placement pass
+	// namedBy is the sequence number of the record of workers that names this one;
+	// 0 if that of an earlier holder does.
+	namedBy uint64
 }
 
 // pendingEnd is an end that may be acknowledged once the log holds the record
@@ -143,6 +143,11 @@
 	return w.listed && w.fenced && !w.Draining && !w.held && len(w.foreign) == 0 && now >= w.avoidUntil
 }
 
+// isNamed reports whether the log names the worker. A new holder waits for the
+// workers that the log names before it places restored tasks, so a worker that it
+// does not name must run none.
+func (s *Scheduler) isNamed(w *worker) bool { return w.namedBy <= s.stored }
+
 func (w *worker) hasLabel(label string) bool {
 	if label == "" {
 		return true
@@ -180,16 +185,18 @@
 	seq     uint64 // of the last Persist
 	stored  uint64
 
-	jobs    map[string]*job
-	workers map[string]*worker
-	waiting []*step // steps with tasks to place, by latest start
-	dirty   []*job
-	newEnds []*pendingEnd   // taken since the last write of progress
-	roster  map[string]bool // as last written
-	before  map[string]bool // workers of earlier holders that have not listed their tasks
-	callers callers
-	checkAt Instant // when what runs is checked next
-	turn    int     // position in the queue from which on a pass tries other steps
+	jobs     map[string]*job
+	workers  map[string]*worker
+	waiting  []*step // steps with tasks to place, by latest start
+	dirty    []*job
+	newEnds  []*pendingEnd    // taken since the last write of progress
+	unstored map[*worker]bool // workers with ends that may not be acknowledged yet
+	reserved []*worker        // workers with reservations of the present pass
+	rename   bool             // the record of workers has to be written
+	before   map[string]bool  // workers of earlier holders that have not listed their tasks
+	callers  callers
+	checkAt  Instant // when what runs is checked next
+	turn     int     // position in the queue from which on a pass tries other steps
 	// unaskedSince is when a worker last appeared that steps may not have asked for.
 	unaskedSince Instant
 	asks         []*step // steps that wait for a call of the policy service
@@ -200,12 +207,12 @@
 // New returns a scheduler without jobs and workers.
 func New(cfg Config) *Scheduler {
 	return &Scheduler{
-		cfg:     cfg,
-		jobs:    map[string]*job{},
-		workers: map[string]*worker{},
-		roster:  map[string]bool{},
-		before:  map[string]bool{},
-		callers: callers{},
+		cfg:      cfg,
+		jobs:     map[string]*job{},
+		workers:  map[string]*worker{},
+		unstored: map[*worker]bool{},
+		before:   map[string]bool{},
+		callers:  callers{},
 	}
 }
 
@@ -221,8 +228,9 @@
 
 // Actions runs the decisions that are due and returns what the holder has to do.
 func (s *Scheduler) Actions() []Action {
-	if s.Settled() {
+	if len(s.before) > 0 && s.Settled() {
 		clear(s.before)
+		s.rename = true
 	}
 	s.openOccurrences()
 	if s.now >= s.checkAt {
@@ -252,19 +260,33 @@
 // Stored notes that all records up to seq are in the log.
 func (s *Scheduler) Stored(seq uint64) {
 	s.stored = max(s.stored, seq)
-	for _, w := range s.workers {
-		w.releaseEnds(s.stored)
+	for w := range s.unstored {
+		s.releaseEnds(w)
 	}
 }
 
 // releaseEnds moves the acknowledgement past all ends whose records are stored.
-func (w *worker) releaseEnds(stored uint64) {
-	n := 0
-	for n < len(w.ends) && w.ends[n].seq <= stored {
-		w.acknowledged = max(w.acknowledged, w.ends[n].number)
+func (s *Scheduler) releaseEnds(w *worker) {
+	n, last := 0, w.acknowledged
+	for n < len(w.ends) && w.ends[n].seq <= s.stored {
+		last = max(last, w.ends[n].number)
 		n++
 	}
 	w.ends = w.ends[n:]
+	s.acknowledge(w, last)
+	if len(w.ends) == 0 {
+		delete(s.unstored, w)
+	} else {
+		s.unstored[w] = true
+	}
+}
+
+// acknowledge lets a worker forget its ends up to a number.
+func (s *Scheduler) acknowledge(w *worker, number uint64) {
+	if number != w.acknowledged {
+		w.acknowledged = number
+		s.act(Acknowledge{Worker: w.ID, Number: number})
+	}
 }
 
 // Acknowledged returns the highest number of the worker's ends that may be
@@ -279,20 +301,25 @@
 // writeRoster persists the workers in use when one was added, or when some that
 // left can no longer run anything.
 func (s *Scheduler) writeRoster() {
-	current := make(map[string]bool, len(s.workers)+len(s.before))
-	for id := range s.workers {
-		current[id] = true
-	}
-	maps.Copy(current, s.before)
-	if maps.Equal(current, s.roster) {
+	if !s.rename {
 		return
 	}
-	s.roster = current
+	s.rename = false
 	r := roster{}
-	for id := range current {
+	for id := range s.workers {
 		r.Workers = append(r.Workers, id)
 	}
-	s.persist(rosterKey, encode(r))
+	for id := range s.before {
+		if s.workers[id] == nil {
+			r.Workers = append(r.Workers, id)
+		}
+	}
+	seq := s.persist(rosterKey, encode(r))
+	for _, w := range s.workers {
+		if w.namedBy == unwritten {
+			w.namedBy = seq
+		}
+	}
 }
 
 // Settled reports whether tasks of restored jobs may be placed: every worker
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -265,15 +265,16 @@
 			}
 		case cell.AskPolicy:
 			h.askPolicy(a)
+		case cell.Acknowledge:
+			if s := h.sessions[a.Worker]; s != nil {
+				s.acknowledged.Store(a.Number)
+			}
 		case cell.Persist:
 			h.writer.add(a)
 		case cell.Decision:
 			h.log(a)
 		}
 	}
-	for id, s := range h.sessions {
-		s.acknowledged.Store(h.sched.Acknowledged(id))
-	}
 }
 
 // log writes a decision and counts it.
@@ -369,6 +370,7 @@
 		old.cancel()
 	}
 	s := newSession(h, target)
+	s.acknowledged.Store(h.sched.Acknowledged(info.ID))
 	h.sessions[info.ID] = s
 	h.tasks.Go(s.run)
 }
