Let more gangs hold room, ask the policy service for fewer workers

After an outage dozens of gangs wait with expired permits; only four at a time held room and renewed, and a worker on which one gang held room was closed to all others. Small urgent steps named 100 workers in each call: 22 ms of decision and 100 ids to code on small VMs. Ruled out: calls that are never answered (each permits_given follows within 0.7 s), lost records, workers on probation (0). Before: TestGangsHoldRoomOnOneWorker, TestWaitingGangsRenewSideBySide (half of the gangs wait) and TestSmallStepAsksForSomeWorkers (60 workers asked) fail. After: they pass.

--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -9,9 +9,20 @@
 type reservation struct {
 	step  *step
 	start Instant
-	spare Resources // what is left at the start, besides the gang's room
+	taken Resources // by the gang
+	spare Resources // what is left at the start, besides the room of all gangs
 }
 
+// reservingShare is the number of workers for each gang that may hold room at the
+// same time. More gangs would keep room empty that none of them can use soon.
+const reservingShare = 12
+
+// minReserving is the least number of gangs that may hold room.
+const minReserving = 4
+
+// maxReserving returns how many gangs may hold room at the same time.
+func (s *Scheduler) maxReserving() int { return max(len(s.workers)/reservingShare, minReserving) }
+
 // placeGang starts all tasks of a gang at once. If there is no room yet, it holds
 // the room that is free first, unless mayHold is false, and reports whether it
 // does.
@@ -27,39 +38,54 @@
 		return false
 	}
 	if !mayHold {
-		if s.gangFits(st) {
-			s.renewForGang(st, s.now)
+		if places := s.placesNow(st); places != nil {
+			s.renewForGang(st, places)
 		}
 		return false
 	}
-	plan := s.planGang(st)
+	if s.now >= st.plan.until {
+		st.plan = gangPlan{places: s.planGang(st), until: s.now + planKeepMS}
+	}
+	plan := st.plan.places
 	if plan == nil {
 		s.renew(st, false)
 		return false
 	}
 	for _, p := range plan {
-		s.reserved = append(s.reserved, p.worker)
-		p.worker.reservations = append(p.worker.reservations, reservation{
-			step:  st,
-			start: p.start,
-			spare: p.worker.freeAt(p.start).Plus(st.demand, -int64(p.copies)),
-		})
-	}
-	s.renewForGang(st, plan[len(plan)-1].start)
+		s.reserve(st, p)
+	}
+	s.renewForGang(st, plan)
 	return true
 }
 
-// gangFits reports whether there is room for the gang now, with or without valid
-// permits. Renewing the permits of every waiting gang would keep all callers of the
-// policy service busy.
-func (s *Scheduler) gangFits(st *step) bool {
+// reserve holds the room of a place for the gang.
+func (s *Scheduler) reserve(st *step, p gangPlace) {
+	w, taken := p.worker, Resources{}.Plus(st.demand, int64(p.copies))
+	s.reserved = append(s.reserved, w)
+	w.reservations = append(w.reservations, reservation{
+		step: st, start: p.start, taken: taken, spare: w.unreservedAt(p.start).Plus(taken, -1),
+	})
+}
+
+// placesNow returns the workers that have room for the gang now, with or without
+// valid permits, or nil if they are too few. Renewing the permits of every waiting
+// gang would keep all callers of the policy service busy.
+func (s *Scheduler) placesNow(st *step) []gangPlace {
+	var places []gangPlace
 	room := 0
 	s.eachAllowed(st, func(w *worker) {
-		if s.suits(st, w) && !st.avoids(w) {
-			room += s.copies(st, w)
+		if !s.suits(st, w) || st.avoids(w) {
+			return
+		}
+		if n := s.copies(st, w); n > 0 {
+			places = append(places, gangPlace{w, n, s.now})
+			room += n
 		}
 	})
-	return room >= len(st.tasks)
+	if room < len(st.tasks) {
+		return nil
+	}
+	return places
 }
 
 // running reports whether any task of the step has a run.
@@ -116,6 +142,16 @@
 	return slices.DeleteFunc(slices.Clone(cands), func(c candidate) bool { return c.worker.Rack != best })
 }
 
+// gangPlan is where a gang holds room.
+type gangPlan struct {
+	places []gangPlace // nil if the allowed workers have no room for the gang
+	until  Instant     // when it is worked out anew
+}
+
+// planKeepMS is how long a plan is kept, in ms. To work out a plan takes longer than
+// the rest of a pass, and estimates of ends change little in this time.
+const planKeepMS = 50
+
 // gangPlace is the share of a worker in the plan of a gang.
 type gangPlace struct {
 	worker *worker
@@ -130,7 +166,7 @@
 	var workers []*worker
 	times := []Instant{s.now}
 	s.eachAllowed(st, func(w *worker) {
-		if !s.suits(st, w) || st.avoids(w) || w.health.trial || heldByOther(w, st) {
+		if !s.suits(st, w) || st.avoids(w) || w.health.trial {
 			return
 		}
 		workers = append(workers, w)
@@ -153,22 +189,14 @@
 	return choosePlaces(st, workers, times[i])
 }
 
-// heldByOther reports whether the worker holds room for another gang.
-func heldByOther(w *worker, st *step) bool {
-	for i := range w.reservations {
-		if w.reservations[i].step != st {
-			return true
-		}
-	}
-	return false
-}
-
+// copiesAt returns how many tasks of the step the worker can take at a time beside
+// the gangs that hold room on it.
 func (s *step) copiesAt(w *worker, t Instant) int {
 	limit := len(s.tasks)
 	if s.def.MaxPerWorker > 0 {
 		limit = s.def.MaxPerWorker
 	}
-	return w.freeAt(t).Copies(s.demand, limit)
+	return w.unreservedAt(t).Copies(s.demand, limit)
 }
 
 func roomAt(st *step, workers []*worker, t Instant) int {
@@ -210,31 +238,49 @@
 	return free
 }
 
+// unreservedAt returns the room of the worker at a time without that of all gangs
+// that hold some.
+func (w *worker) unreservedAt(t Instant) Resources {
+	free := w.freeAt(t)
+	for i := range w.reservations {
+		free = free.Plus(w.reservations[i].taken, -1)
+	}
+	return free
+}
+
 // renewLeadMS is how long before the room of a gang is free its permits should
 // be there, in ms, because estimates of ends are rough.
 const renewLeadMS = 200
 
-// renewForGang renews the permits of a gang so that they are valid when its room
-// is free.
-func (s *Scheduler) renewForGang(st *step, start Instant) {
+// renewForGang renews the permits of the workers at which the gang is to start, so
+// that they are valid when its room is free.
+func (s *Scheduler) renewForGang(st *step, places []gangPlace) {
 	q := st.job.Queue.Policy
 	if q == nil || st.permits.pending {
 		return
 	}
-	ids := s.allowedWorkers(st)
-	call := Instant(q.Duration(len(ids)))
-	if start-s.now > call+renewLeadMS {
+	call := Instant(q.Duration(len(places)))
+	if places[len(places)-1].start-s.now > call+renewLeadMS {
 		return
 	}
 	// Permits that outlive the call need no renewal yet.
-	valid := 0
-	for _, id := range ids {
-		if s.workers[id] != nil && st.permits.allowed[id].life == s.workers[id].life &&
-			st.permits.allowed[id].expires-permitMarginMS > s.now+call {
-			valid++
-		}
+	outlive := s.now + call
+	lacking := false
+	ids := make([]string, 0, len(places)+spareAsked)
+	named := make(map[string]bool, len(places))
+	for _, p := range places {
+		lacking = lacking || !st.permitted(p.worker, outlive)
+		ids = append(ids, p.worker.ID)
+		named[p.worker.ID] = true
+	}
+	if !lacking {
+		return
 	}
-	if valid < len(ids) {
-		s.want(st, ids)
+	// Estimates of ends are rough, so some more workers are named.
+	for _, id := range s.allowedWorkers(st) {
+		if len(ids) < len(places)+spareAsked && !named[id] {
+			ids = append(ids, id)
+		}
 	}
+	s.want(st, ids)
 }
--- a/internal/cell/gang_test.go
+++ b/internal/cell/gang_test.go
@@ -45,3 +45,38 @@
 		assert.Equal(t, start.Run, r.starts[3].Run)
 	}
 }
+
+// Two gangs that wait for the same worker both hold room there. When only the first
+// did, long tasks took the room that the second had to wait for.
+func TestGangsHoldRoomOnOneWorker(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 2000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1900}, EstimateMS: 1000}))
+	for n := range 2 {
+		r.submit(oneStep(jobID(2+n), Step{Tasks: 2, Resources: Resources{CPUMilli: 500}, EstimateMS: 1000, Gang: true}))
+	}
+	r.submit(oneStep(jobID(4), Step{Tasks: 1, Resources: Resources{CPUMilli: 100}, EstimateMS: 5000}))
+	assert.Equal(t, len(r.starts), 1, "a long task took room that the second gang needs")
+	r.endLast(EndDone)
+	assert.Equal(t, len(r.starts), 5)
+}
+
+// After a long outage many gangs wait with room for all of them and permits that
+// have expired. They must renew them side by side: four at a time kept the last ones
+// waiting for half a minute.
+func TestWaitingGangsRenewSideBySide(t *testing.T) {
+	const gangs = 8
+	r := newRig(t, 12*gangs, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.s.SetCallers([]string{"e01", "e02", "e03", "e04", "e05", "e06", "e07", "e08", "e09", "e10", "e11", "e12", "e13", "e14"})
+	r.allow = func(string, string) bool { return true }
+	queue := permitQueue()
+	for n := range 2 * gangs { // the first half fills all workers
+		r.submit(Job{ID: jobID(n), Queue: queue, Steps: []Step{{Tasks: 12, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000, Gang: true}}})
+	}
+	assert.Equal(t, len(r.starts), 12*gangs)
+	r.pass(5000) // permits last 1500 ms
+	for _, start := range r.starts {
+		r.end(start.Worker, start.Task, start.Run, EndDone)
+	}
+	r.pass(10)
+	assert.Equal(t, len(r.starts), 24*gangs)
+}
--- a/internal/cell/permits.go
+++ b/internal/cell/permits.go
@@ -10,7 +10,8 @@
 // does not change; each permit expires and can be renewed.
 type permits struct {
 	known   bool               // an answer has come
-	askedAt Instant            // when unasked workers were last looked for
+	askedAt Instant            // when all unasked workers were last looked for
+	widenAt Instant            // when unasked workers with room are looked for next
 	asked   map[string]bool    // workers that were asked for
 	allowed map[string]*permit // by worker
 	pending bool               // a call is under way or waits for a caller
--- a/internal/cell/permits_test.go
+++ b/internal/cell/permits_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -73,3 +74,21 @@
 		assert.Equal(t, r.s.Servable(&job), true, "no worker of the service is known")
 	}
 }
+
+// A call of the policy service takes longer for each worker that it names. A small
+// urgent step asks for some workers with room, and for others once those are taken.
+func TestSmallStepAsksForSomeWorkers(t *testing.T) {
+	r := newRig(t, 60, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(Job{ID: jobID(1), Queue: permitQueue(), Steps: []Step{{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}}})
+	assert.Equal(t, len(r.asks), 1)
+	first := r.asks[0]
+	assert.Equal(t, len(first.Workers), minAsk)
+	r.s.Permitted(Permitted{Caller: first.Caller, Step: first.Step, Workers: first.Workers, ValidForMS: 1500})
+	for range 3 {
+		r.pass(widenIntervalMS)
+	}
+	assert.Equal(t, len(r.asks), 2, "none of the first workers is allowed")
+	for _, id := range r.asks[1].Workers {
+		assert.Assert(t, !slices.Contains(first.Workers, id))
+	}
+}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -21,10 +21,6 @@
 	return s.def.DataRack != "" && w.Rack != s.def.DataRack
 }
 
-// maxReserving bounds the gangs that hold room at the same time. More of them
-// would keep room empty that none of them can use soon.
-const maxReserving = 4
-
 // A pass tries to place the first frontTries steps of the queue that find no room,
 // and otherTries more, which are others in each pass. A long queue would otherwise
 // cost a search for each of its steps, and steps that find no room for long would
@@ -43,14 +39,14 @@
 		w.reservations = w.reservations[:0]
 	}
 	s.reserved = s.reserved[:0]
-	reserving, tries, position := 0, 0, 0
+	reserving, mayReserve, tries, position := 0, s.maxReserving(), 0, 0
 	order := s.order()
 	for _, st := range order {
 		if !s.placeable(st) {
 			continue
 		}
 		if st.def.Gang {
-			if s.placeGang(st, reserving < maxReserving) {
+			if s.placeGang(st, reserving < mayReserve) {
 				reserving++
 			}
 			continue
@@ -321,19 +317,65 @@
 	if st.job.Queue.Policy == nil || st.permits.pending {
 		return
 	}
-	if !st.permits.known || (s.unaskedSince > st.permits.askedAt && s.needsMore(st)) {
-		ids := s.unaskedWorkers(st)
-		if len(ids) <= maxAskWorkers {
-			st.permits.askedAt = s.now
-		}
-		if len(ids) > 0 {
-			s.want(st, ids)
-			return
-		}
-	}
-	if roomWithoutPermit {
+	switch {
+	case !st.permits.known:
+		s.want(st, s.firstAsk(st))
+	case s.unaskedSince > st.permits.askedAt && s.needsMore(st) && s.askMore(st):
+	case roomWithoutPermit:
 		s.want(st, s.roomyWorkers(st))
+	case !st.def.Gang && len(st.permits.asked) < maxAskWorkers && s.now >= st.permits.widenAt:
+		st.permits.widenAt = s.now + widenIntervalMS
+		s.want(st, s.unaskedWithRoom(st))
+	}
+}
+
+// widenIntervalMS is the pause between two looks for workers with room that a step
+// has not asked for, in ms. Each look visits all workers.
+const widenIntervalMS = 100
+
+// askMore asks for all workers that the step has not asked for, and reports whether
+// there are any.
+func (s *Scheduler) askMore(st *step) bool {
+	ids := s.unaskedWorkers(st)
+	if len(ids) <= maxAskWorkers {
+		st.permits.askedAt = s.now
 	}
+	s.want(st, workerIDs(ids))
+	return len(ids) > 0
+}
+
+// A step names as many workers in its first call as have room for roomFactor times
+// its tasks, and minAsk at least. A call takes longer for each worker that it names,
+// and more can be asked for when all of these are taken.
+const (
+	roomFactor = 4
+	minAsk     = 16
+)
+
+// firstAsk returns the workers of the first call for a step. Gangs ask for as many
+// as they may, because they need room at one time.
+func (s *Scheduler) firstAsk(st *step) []string {
+	found := s.unaskedWorkers(st)
+	if st.def.Gang && len(st.tasks) >= wideGang {
+		return workerIDs(found)
+	}
+	room, n := 0, 0
+	for n < len(found) && (room < roomFactor*len(st.tasks) || n < minAsk) {
+		room += found[n].copies
+		n++
+	}
+	return workerIDs(found[:n])
+}
+
+// unaskedWithRoom returns the workers with room for the step that it has not asked
+// for, as many as its first call would name.
+func (s *Scheduler) unaskedWithRoom(st *step) []string {
+	found := s.unaskedWorkers(st)
+	n := 0
+	for n < len(found) && n < max(minAsk, len(st.tasks)) && found[n].copies > 0 {
+		n++
+	}
+	return workerIDs(found[:n])
 }
 
 // spareAsked is how many workers more than it has tasks a step asks to renew its
@@ -376,34 +418,37 @@
 // so that it does not wait for all of it to be free.
 const gangChoice = 2
 
+// unasked is a worker that a step has not asked for.
+type unasked struct {
+	id     string
+	copies int    // tasks that it could take now
+	mix    uint64 // orders workers differently for each step
+}
+
+func workerIDs(found []unasked) []string {
+	ids := make([]string, len(found))
+	for i, u := range found {
+		ids[i] = u.id
+	}
+	return ids
+}
+
 // unaskedWorkers returns workers that the policy service was not asked for yet:
 // those with the most room first, in an order that differs by step otherwise.
-func (s *Scheduler) unaskedWorkers(st *step) []string {
-	type unasked struct {
-		id   string
-		free int64
-		mix  uint64
-	}
+func (s *Scheduler) unaskedWorkers(st *step) []unasked {
 	var found []unasked
 	name := st.name()
 	for id, w := range s.workers {
 		if !st.permits.asked[id] && w.Service == st.job.Queue.Service && w.listed && !w.Draining &&
 			w.hasLabel(st.def.Label) && w.Capacity.Fits(st.demand) {
 			copies := w.free().Copies(st.demand, len(st.tasks))
-			found = append(found, unasked{id, int64(copies), xxhash.Sum64String(name + id)})
+			found = append(found, unasked{id, copies, xxhash.Sum64String(name + id)})
 		}
 	}
 	slices.SortFunc(found, func(a, b unasked) int {
-		if a.free != b.free {
-			return int(b.free - a.free)
-		}
-		return cmp.Compare(a.mix, b.mix)
+		return cmp.Or(cmp.Compare(b.copies, a.copies), cmp.Compare(a.mix, b.mix))
 	})
-	ids := make([]string, len(found))
-	for i, u := range found {
-		ids[i] = u.id
-	}
-	return ids
+	return found
 }
 
 // allowedWorkers returns the workers that are known to be allowed and take work.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -47,6 +47,7 @@
 	lastRun  uint32   // highest run of any task
 	saved    string   // newest checkpoint of a gang
 	started  bool
+	plan     gangPlan // of a gang that holds room
 }
 
 // name returns the name of the step at the policy service.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -49,9 +49,9 @@
 
 // Bounds of a link.
 const (
-	maxMessageBytes  = 1 << 20
-	sendQueueLength  = 4096
-	bufferBytes      = 4 << 10
+	maxMessageBytes = 1 << 20
+	sendQueueLength = 4096
+	bufferBytes     = 4 << 10
 	// HandshakeTimeout bounds each message of the handshake.
 	HandshakeTimeout = time.Second
 )
