Search room for a step only when there may be some

Cause: every pass searched all allowed workers for up to 80 waiting steps. In bursts the holder's passes took longer than what they reacted to. Ruled out: fewer tries for each pass: steps behind them would not be tried. Conclusion: a pass costs what has changed.

--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -34,8 +34,11 @@
 		s.renew(st, false)
 		return false
 	}
-	if cands, _ := s.candidates(st); s.startGang(st, cands) {
-		return false
+	if s.mayFindRoom(st) {
+		st.searchAt = s.now + searchIntervalMS
+		if cands, _ := s.candidates(st); s.startGang(st, cands) {
+			return false
+		}
 	}
 	if !mayHold {
 		if places := s.placesNow(st); places != nil {
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -87,6 +87,7 @@
 	if !w.fenced {
 		s.restart(w)
 		w.fenced = true
+		s.freed = append(s.freed, w)
 	}
 	w.life = l.Life
 	w.lastListed = max(w.lastListed, l.Asked)
@@ -290,6 +291,7 @@
 	w := a.worker
 	delete(w.attempts, runKey{a.task.id(), a.run})
 	w.used = w.used.Plus(a.demand, -1)
+	s.freed = append(s.freed, w)
 	for i, other := range a.task.attempts {
 		if other == a {
 			a.task.attempts = append(a.task.attempts[:i], a.task.attempts[i+1:]...)
--- a/internal/cell/measure_test.go
+++ b/internal/cell/measure_test.go
@@ -40,6 +40,7 @@
 		measure.Figure(t, fmt.Sprintf("%d workers, job to start, p50", workers), float64(measure.Quantile(taken, 0.5).Microseconds()), "us")
 		measure.Figure(t, fmt.Sprintf("%d workers, end to acknowledgement, p50", workers), float64(measure.Quantile(turned, 0.5).Microseconds()), "us")
 	}
+	measureFullCell(t)
 	r := newRig(t, 8, Resources{CPUMilli: 64000, MemoryMB: 131072})
 	job := measuredJob(0, 8, 1000)
 	r.submit(job)
@@ -55,3 +56,27 @@
 		Steps: []Step{{Tasks: tasks, Resources: Resources{CPUMilli: cpu, MemoryMB: 100}, EstimateMS: 1000}},
 	}
 }
+
+// measureFullCell measures a pass while steps wait on a full cell.
+func measureFullCell(t *testing.T) {
+	const workers, waiting = 350, 200
+	r := newRig(t, workers, Resources{CPUMilli: 16000, MemoryMB: 32768})
+	r.allow = func(step, worker string) bool { return (len(step)+int(worker[len(worker)-1]))%2 == 0 }
+	for n := range 4*workers + waiting {
+		job := measuredJob(n, 1, 4000)
+		job.Queue.Policy = &PolicyCost{DecisionMS: 10, PerWorkerMS: 0.1}
+		r.submit(job)
+	}
+	var turned []time.Duration
+	for n := range 200 {
+		ended := r.starts[n]
+		r.end(ended.Worker, ended.Task, ended.Run, EndDone)
+		r.now += 2
+		r.s.Tick(r.now, r.unixMS)
+		begun := time.Now()
+		r.list(ended.Worker)
+		r.turn()
+		turned = append(turned, time.Since(begun))
+	}
+	measure.Figure(t, fmt.Sprintf("%d workers, %d steps wait, end to next start, p50", workers, waiting), float64(measure.Quantile(turned, 0.5).Microseconds()), "us")
+}
--- a/internal/cell/permits.go
+++ b/internal/cell/permits.go
@@ -120,6 +120,7 @@
 		st.permits.asked = map[string]bool{}
 	}
 	st.permits.known = true
+	st.searchAt = 0
 	for _, id := range p.Workers {
 		st.permits.asked[id] = true
 	}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -52,13 +52,15 @@
 			continue
 		}
 		position++
-		if tries >= frontTries && !s.isTurn(position) {
+		if !s.mayFindRoom(st) || tries >= frontTries && !s.isTurn(position) {
 			continue
 		}
 		if !s.placeTasks(st) {
 			tries++
 		}
 	}
+	clear(s.freed)
+	s.freed = s.freed[:0]
 	s.turn += otherTries
 	if s.turn > len(order) {
 		s.turn = 0
@@ -66,6 +68,30 @@
 	s.dropPlaced()
 }
 
+// searchIntervalMS is the pause between two searches of room for a step when no
+// worker that it may use has gained some, in ms. Workers also come back from a pause,
+// and gangs give held room up.
+const searchIntervalMS = 40
+
+// mayFindRoom reports whether a search of room for the step can find more than the
+// last one, which found too little.
+func (s *Scheduler) mayFindRoom(st *step) bool {
+	if s.now >= st.searchAt {
+		return true
+	}
+	for _, w := range s.freed {
+		if st.isAllowed(w) && s.suits(st, w) && s.copies(st, w) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// isAllowed reports whether the worker may run the step as far as is known.
+func (s *step) isAllowed(w *worker) bool {
+	return s.job.Queue.Policy == nil || s.permits.allowed[w.ID] != nil
+}
+
 // isTurn reports whether the step at a position of the queue is among the others
 // that this pass tries.
 func (s *Scheduler) isTurn(position int) bool {
@@ -204,6 +230,7 @@
 		}
 		c := firstWithRoom(cands)
 		if c == nil {
+			st.searchAt = s.now + searchIntervalMS
 			s.renew(st, roomWithoutPermit)
 			break
 		}
@@ -336,7 +363,7 @@
 // askMore asks for all workers that the step has not asked for, and reports whether
 // there are any.
 func (s *Scheduler) askMore(st *step) bool {
-	ids := s.unaskedWorkers(st)
+	ids := s.unaskedWorkers(st, 0)
 	if len(ids) <= maxAskWorkers {
 		st.permits.askedAt = s.now
 	}
@@ -355,7 +382,7 @@
 // firstAsk returns the workers of the first call for a step. Gangs ask for as many
 // as they may, because they need room at one time.
 func (s *Scheduler) firstAsk(st *step) []string {
-	found := s.unaskedWorkers(st)
+	found := s.unaskedWorkers(st, 0)
 	if st.def.Gang && len(st.tasks) >= wideGang {
 		return workerIDs(found)
 	}
@@ -370,12 +397,8 @@
 // unaskedWithRoom returns the workers with room for the step that it has not asked
 // for, as many as its first call would name.
 func (s *Scheduler) unaskedWithRoom(st *step) []string {
-	found := s.unaskedWorkers(st)
-	n := 0
-	for n < len(found) && n < max(minAsk, len(st.tasks)) && found[n].copies > 0 {
-		n++
-	}
-	return workerIDs(found[:n])
+	found := s.unaskedWorkers(st, 1)
+	return workerIDs(found[:min(len(found), max(minAsk, len(st.tasks)))])
 }
 
 // spareAsked is how many workers more than it has tasks a step asks to renew its
@@ -433,16 +456,19 @@
 	return ids
 }
 
-// unaskedWorkers returns workers that the policy service was not asked for yet:
-// those with the most room first, in an order that differs by step otherwise.
-func (s *Scheduler) unaskedWorkers(st *step) []unasked {
+// unaskedWorkers returns workers that the policy service was not asked for yet and
+// that could take minCopies tasks now: those with the most room first, in an order
+// that differs by step otherwise.
+func (s *Scheduler) unaskedWorkers(st *step, minCopies int) []unasked {
 	var found []unasked
 	name := st.name()
 	for id, w := range s.workers {
 		if !st.permits.asked[id] && w.Service == st.job.Queue.Service && w.listed && !w.Draining &&
 			w.hasLabel(st.def.Label) && w.Capacity.Fits(st.demand) {
 			copies := w.free().Copies(st.demand, len(st.tasks))
-			found = append(found, unasked{id, copies, xxhash.Sum64String(name + id)})
+			if copies >= minCopies {
+				found = append(found, unasked{id, copies, xxhash.Sum64String(name + id)})
+			}
 		}
 	}
 	slices.SortFunc(found, func(a, b unasked) int {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -48,6 +48,7 @@
 	saved    string   // newest checkpoint of a gang
 	started  bool
 	plan     gangPlan // of a gang that holds room
+	searchAt Instant  // when room is searched for again if none becomes free
 }
 
 // name returns the name of the step at the policy service.
@@ -186,18 +187,20 @@
 	seq     uint64 // of the last Persist
 	stored  uint64
 
-	jobs     map[string]*job
-	workers  map[string]*worker
-	waiting  []*step // steps with tasks to place, by latest start
-	dirty    []*job
-	newEnds  []*pendingEnd    // taken since the last write of progress
-	unstored map[*worker]bool // workers with ends that may not be acknowledged yet
-	reserved []*worker        // workers with reservations of the present pass
-	rename   bool             // the record of workers has to be written
-	before   map[string]bool  // workers of earlier holders that have not listed their tasks
-	callers  callers
-	checkAt  Instant // when what runs is checked next
-	turn     int     // position in the queue from which on a pass tries other steps
+	jobs      map[string]*job
+	workers   map[string]*worker
+	waiting   []*step // steps with tasks to place, by latest start
+	dirty     []*job
+	newEnds   []*pendingEnd    // taken since the last write of progress
+	unstored  map[*worker]bool // workers with ends that may not be acknowledged yet
+	reserved  []*worker        // workers with reservations of the present pass
+	freed     []*worker        // workers that have gained room since the last pass
+	rename    bool             // the record of workers has to be written
+	rosterSeq uint64           // of the newest record of workers
+	before    map[string]bool  // workers of earlier holders that have not listed their tasks
+	callers   callers
+	checkAt   Instant // when what runs is checked next
+	turn      int     // position in the queue from which on a pass tries other steps
 	// unaskedSince is when a worker last appeared that steps may not have asked for.
 	unaskedSince Instant
 	asks         []*step // steps that wait for a call of the policy service
@@ -260,6 +263,11 @@
 
 // Stored notes that all records up to seq are in the log.
 func (s *Scheduler) Stored(seq uint64) {
+	if s.stored < s.rosterSeq && seq >= s.rosterSeq {
+		for _, w := range s.workers {
+			s.freed = append(s.freed, w) // the log names all of them now
+		}
+	}
 	s.stored = max(s.stored, seq)
 	for w := range s.unstored {
 		s.releaseEnds(w)
@@ -315,10 +323,10 @@
 			r.Workers = append(r.Workers, id)
 		}
 	}
-	seq := s.persist(rosterKey, encode(r))
+	s.rosterSeq = s.persist(rosterKey, encode(r))
 	for _, w := range s.workers {
 		if w.namedBy == unwritten {
-			w.namedBy = seq
+			w.namedBy = s.rosterSeq
 		}
 	}
 }
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -186,6 +186,7 @@
 		return
 	}
 	st.queued = true
+	st.searchAt = 0
 	if st.readyAt == 0 {
 		st.readyAt = s.now
 	}
