Move runs off workers that leave, do not wait for drained workers after a takeover

Cause: a worker that is taken away at short notice ended its runs, whose tasks were placed again only when its lease had run out, 6 s later. Ruled out: taking a worker that leaves the registry for empty: entries also vanish when a worker cannot reach the log. Before: TestEvacuateWorkerThatLeaves and TestTakeoverDoesNotWaitForDrainedWorkers fail. After: they pass.

--- a/cmd/fulmarlatch-entry/main.go
+++ b/cmd/fulmarlatch-entry/main.go
@@ -173,16 +173,17 @@
 func nodeConfig(s platform.Settings, log *zap.Logger, registry metrics.Registry) entry.Config {
 	b := s.Node.Bounds
 	return entry.Config{
-		Name:        s.Node.Name,
-		Domain:      s.Node.Domain,
-		Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid()),
-		LinkAddress: s.Node.LinkAddress(),
-		Cells:       s.Cells,
-		CPUShare:    s.Node.Limits.CPUShare,
-		LeaseMS:     b.LeaseMS,
-		KeepEndedMS: int64(b.StatusS * 1000),
-		FarFactor:   b.SpreadFactor,
-		Logger:      log,
-		Metrics:     registry,
+		Name:          s.Node.Name,
+		Domain:        s.Node.Domain,
+		Incarnation:   strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid()),
+		LinkAddress:   s.Node.LinkAddress(),
+		Cells:         s.Cells,
+		CPUShare:      s.Node.Limits.CPUShare,
+		LeaseMS:       b.LeaseMS,
+		KeepEndedMS:   int64(b.StatusS * 1000),
+		FarFactor:     b.SpreadFactor,
+		StopTimeoutMS: b.StopTimeoutMS,
+		Logger:        log,
+		Metrics:       registry,
 	}
 }
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -64,9 +64,9 @@
 			continue
 		}
 		for _, a := range w.attempts {
-			if a.phase == running && a.progressAt > 0 && s.isHung(a) {
+			if a.phase == running && a.progress.at > 0 && s.isHung(a) {
 				w.health.suspect(s.now)
-				s.act(Decision{Event: EventRunHung, Failed: true, Job: a.task.step.job.ID, Task: a.task.id().String(), Run: a.run, Worker: w.ID, AgeMS: int64(s.now - a.progressAt)})
+				s.act(Decision{Event: EventRunHung, Failed: true, Job: a.task.step.job.ID, Task: a.task.id().String(), Run: a.run, Worker: w.ID, AgeMS: int64(s.now - a.progress.at)})
 				s.stop(a, "no_progress")
 			}
 		}
@@ -79,5 +79,5 @@
 		return false
 	}
 	patience := max(Instant(st.def.EstimateMS)*hangFactor/100, hangMS)
-	return a.worker.lastListed-a.progressAt > patience
+	return a.worker.lastListed-a.progress.at > patience
 }
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -21,6 +21,11 @@
 		}
 		w.WorkerInfo = info
 		w.listed = true
+		if w.namedBy == unnamed && !w.Draining {
+			w.namedBy = unwritten
+			s.rename = true
+		}
+		s.noteLeaving(w)
 	}
 	for id, w := range s.workers {
 		w.listed = listed[id]
@@ -127,10 +132,7 @@
 	if a.phase == starting {
 		s.confirm(a)
 	}
-	if r.Percent > a.percent || a.progressAt == 0 {
-		a.percent, a.progressAt = r.Percent, s.now
-	}
-	a.load = r.Load
+	a.takeProgress(s.now, r)
 	s.takeCheckpoint(a.task, a.run, r.Checkpoint)
 }
 
--- a/internal/cell/rig_test.go
+++ b/internal/cell/rig_test.go
@@ -47,7 +47,7 @@
 
 // takeOver replaces the scheduler by one of a new holder.
 func (r *rig) takeOver(term uint32) {
-	r.s = New(Config{Term: term - 1, RestoreUntil: r.now + 12000, FarFactor: 3, KeepEndedMS: 120000})
+	r.s = New(Config{Term: term - 1, RestoreUntil: r.now + 12000, FarFactor: 3, KeepEndedMS: 120000, StopTimeoutMS: 400})
 	r.s.Tick(r.now, r.unixMS)
 	var records []Record
 	for key, value := range r.log {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -83,18 +83,17 @@
 // attempt is one run of a task on a worker. It holds room until the worker lists
 // its end or can no longer run it.
 type attempt struct {
-	task       *task
-	run        uint32
-	worker     *worker
-	phase      phase
-	demand     Resources
-	started    Instant
-	confirmed  Instant // when the worker confirmed the start or the stop
-	percent    int
-	load       int64   // as last listed, see RunningTask
-	pace       int     // share in percent at which a filler works
-	progressAt Instant // when percent last rose
-	ends       Instant // estimate
+	task      *task
+	run       uint32
+	worker    *worker
+	phase     phase
+	demand    Resources
+	started   Instant
+	confirmed Instant // when the worker confirmed the start or the stop
+	load      int64   // as last listed, see RunningTask
+	pace      int     // share in percent at which a filler works
+	progress  progress
+	ends      Instant // estimate
 }
 
 type runKey struct {
@@ -120,10 +119,11 @@
 	health       health
 	avoidUntil   Instant
 	held         bool          // kept free for the upkeep of its machine
+	leavesAt     Instant       // when a draining worker may leave; 0 if unknown
 	pacedAt      Instant       // when fillers were last paced
 	reservations []reservation // of the present placement pass
 	// namedBy is the sequence number of the record of workers that names this one;
-	// 0 if that of an earlier holder does.
+	// 0 if that of an earlier holder does, unnamed if none has to.
 	namedBy uint64
 }
 
@@ -138,6 +138,10 @@
 // unwritten is the sequence number of a record that is not written yet.
 const unwritten = math.MaxUint64
 
+// unnamed stands for the record of workers that names a worker without tasks that
+// leaves: there is none.
+const unnamed = unwritten - 1
+
 func (w *worker) free() Resources { return w.Capacity.Plus(w.used, -1) }
 
 // takesWork reports whether new tasks may be placed on the worker.
@@ -176,6 +180,8 @@
 	FarFactor float64
 	// KeepEndedMS is how long the state of an ended job is kept, in ms.
 	KeepEndedMS int64
+	// StopTimeoutMS is the longest time in ms that a worker takes to stop a run.
+	StopTimeoutMS int64
 }
 
 // Scheduler decides for one cell. It is not safe for concurrent use.
@@ -240,6 +246,8 @@
 	if s.now >= s.checkAt {
 		s.checkAt = s.now + checkIntervalMS
 		s.checkHangs()
+		s.evacuate()
+		s.dropDrained()
 		s.paceFillers()
 	}
 	s.place()
@@ -315,8 +323,10 @@
 	}
 	s.rename = false
 	r := roster{}
-	for id := range s.workers {
-		r.Workers = append(r.Workers, id)
+	for id, w := range s.workers {
+		if w.namedBy != unnamed {
+			r.Workers = append(r.Workers, id)
+		}
 	}
 	for id := range s.before {
 		if s.workers[id] == nil {
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -28,6 +28,8 @@
 	LeaseMS int64
 	// KeepEndedMS is how long the state of an ended job is kept, in ms.
 	KeepEndedMS int64
+	// StopTimeoutMS is the longest time in ms that a worker takes to stop a run.
+	StopTimeoutMS int64
 	// FarFactor is how much longer a task takes away from its data.
 	FarFactor float64
 	Logger    *zap.Logger
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -98,10 +98,11 @@
 	h.writer.stored = func(seq uint64) { h.post(func(s *cell.Scheduler) { h.onStored(s, seq) }) }
 	cfg := a.node.cfg
 	h.sched = cell.New(cell.Config{
-		Term:         c.Term - 1,
-		RestoreUntil: h.now() + cell.Instant(authority.Milliseconds()+leaseBound(cfg.LeaseMS)),
-		FarFactor:    cfg.FarFactor,
-		KeepEndedMS:  cfg.KeepEndedMS,
+		Term:          c.Term - 1,
+		RestoreUntil:  h.now() + cell.Instant(authority.Milliseconds()+leaseBound(cfg.LeaseMS)),
+		FarFactor:     cfg.FarFactor,
+		KeepEndedMS:   cfg.KeepEndedMS,
+		StopTimeoutMS: cfg.StopTimeoutMS,
 	})
 	return h
 }
