Ask the policy service for no more than a step needs

Cause: calls of the policy service bound the grown enquiry desk with one cell. Before: TestAskedWorkersFollowAllowedShare and TestFewStepsRenewAtOnce fail. After: they pass.

--- a/internal/cell/dump.go
+++ b/internal/cell/dump.go
@@ -35,9 +35,7 @@
 		}
 	}
 	for _, c := range s.callers {
-		if c.busy {
-			sum.Calls++
-		}
+		sum.Calls += len(c.calls)
 	}
 	for _, w := range s.workers {
 		sum.add(w, s.now)
--- a/internal/cell/permits.go
+++ b/internal/cell/permits.go
@@ -56,10 +56,18 @@
 type callers map[string]*caller
 
 type caller struct {
-	busy       bool
-	long       bool    // the present call is a long one
-	step       string  // of the present call
-	avoidUntil Instant // after a call without an answer
+	calls      map[string]bool // under way, by step: true for a long call
+	avoidUntil Instant         // after a call without an answer
+}
+
+// hasLong reports whether a long call is under way.
+func (c *caller) hasLong() bool {
+	for _, long := range c.calls {
+		if long {
+			return true
+		}
+	}
+	return false
 }
 
 // callerPauseMS is how long an entry process that got no answer from the policy
@@ -71,15 +79,15 @@
 func (s *Scheduler) SetCallers(names []string) {
 	for name, c := range s.callers {
 		if !slices.Contains(names, name) {
-			if c.busy {
-				s.askFailed(c.step)
+			for step := range c.calls {
+				s.askFailed(step)
 			}
 			delete(s.callers, name)
 		}
 	}
 	for _, name := range names {
 		if s.callers[name] == nil {
-			s.callers[name] = &caller{}
+			s.callers[name] = &caller{calls: map[string]bool{}}
 		}
 	}
 }
@@ -97,8 +105,8 @@
 
 // Permitted takes the result of an AskPolicy.
 func (s *Scheduler) Permitted(p Permitted) {
-	if c := s.callers[p.Caller]; c != nil && c.step == p.Step {
-		c.busy = false
+	if c := s.callers[p.Caller]; c != nil {
+		delete(c.calls, p.Step)
 		if p.Failed {
 			c.avoidUntil = s.now + callerPauseMS
 		}
@@ -119,6 +127,7 @@
 		st.permits.allowed = map[string]*permit{}
 		st.permits.asked = map[string]bool{}
 	}
+	s.learnShare(st, len(p.Tickets), len(p.Workers))
 	st.permits.known = true
 	st.searchAt = 0
 	for _, id := range p.Workers {
@@ -183,14 +192,13 @@
 			continue
 		}
 		long := st.isLongCall()
-		name := s.freeCaller()
+		name := s.freeCaller(long)
 		if name == "" || long && s.longCalls() >= max(len(s.callers)*longShare/100, 1) {
 			kept = append(kept, st)
 			continue
 		}
 		workers := st.permits.wanted[:min(len(st.permits.wanted), maxAskWorkers)]
-		c := s.callers[name]
-		c.busy, c.long, c.step = true, long, st.name()
+		s.callers[name].calls[st.name()] = long
 		st.permits.sentAt = s.now
 		s.act(AskPolicy{Caller: name, Step: st.name(), Workers: workers})
 	}
@@ -215,20 +223,29 @@
 func (s *Scheduler) longCalls() int {
 	n := 0
 	for _, c := range s.callers {
-		if c.busy && c.long {
+		if c.hasLong() {
 			n++
 		}
 	}
 	return n
 }
 
-// freeCaller returns the entry process without a call whose name is smallest, or
-// an empty string.
-func (s *Scheduler) freeCaller() string {
-	best := ""
+// maxShortCalls is how many short calls an entry process may have under way. The
+// service takes them in turn, so that it need not wait for the way to the holder and
+// back between two of them.
+const maxShortCalls = 2
+
+// freeCaller returns the entry process with the fewest calls that may make another
+// one, the first by name of those, or an empty string.
+func (s *Scheduler) freeCaller(long bool) string {
+	best, fewest := "", maxShortCalls
 	for name, c := range s.callers {
-		if !c.busy && s.now >= c.avoidUntil && (best == "" || name < best) {
-			best = name
+		n := len(c.calls)
+		if s.now < c.avoidUntil || n > 0 && (long || c.hasLong()) {
+			continue
+		}
+		if n < fewest || n == fewest && best != "" && name < best {
+			best, fewest = name, n
 		}
 	}
 	return best
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -216,6 +216,7 @@
 	rosterSeq uint64           // of the newest record of workers
 	before    map[string]bool  // workers of earlier holders that have not listed their tasks
 	callers   callers
+	shares    shares
 	checkAt   Instant // when what runs is checked next
 	judgeAt   Instant // when speeds are compared next
 	turn      int     // position in the queue from which on a pass tries other steps
@@ -235,6 +236,7 @@
 		unstored: map[*worker]bool{},
 		before:   map[string]bool{},
 		callers:  callers{},
+		shares:   shares{},
 	}
 }
 
