Settle sooner after a planned handover; count suspended time against authority

The monotonic clock stands still while a VM is suspended, so that a holder that woke up went on to renew leases. Ruled out: telling the leases of lost workers in the claim: clocks of VMs differ. Before: TestReleaseEndsAuthority fails to build and to hold. After: it passes.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Sleep waits for d and returns true, or false if ctx ends first.
@@ -18,3 +20,13 @@
 		return false
 	}
 }
+
+// SinceBoot returns the time since the VM was started. Unlike the monotonic clock of
+// package time it goes on while the VM is suspended. Only differences mean something.
+func SinceBoot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Duration(time.Now().UnixNano()) // no such clock: the time of day goes on too
+	}
+	return time.Duration(t.Nano())
+}
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -74,7 +74,7 @@
 			a.setStale(newest) // of this process before its last start
 		case newest.Incarnation == a.node.cfg.Incarnation && newest.Holder == a.node.cfg.Name:
 			// A claim whose answer was lost has been carried out after all.
-			a.hold(ctx, newest, end)
+			a.hold(ctx, newest, end, authority)
 		case newest.Holder != "" && newest.Holder != a.node.cfg.Name:
 			a.follow(ctx, newest, a.dialTimeout())
 			clock.Sleep(ctx, redialPause)
@@ -158,12 +158,17 @@
 	next.Token = newEnd
 	a.logger.Info("claim_made", zap.Int64("token", newEnd), zap.Uint32("term", next.Term), zap.String("old_holder", old.Holder),
 		zap.Duration("unchanged", time.Since(a.watch.since)))
-	a.hold(ctx, next, newEnd)
+	renewing := authority
+	if old.Holder == "" {
+		renewing = 0 // the last holder gave the cell up
+	}
+	a.hold(ctx, next, newEnd, renewing)
 }
 
-// hold runs the holder until it loses the cell.
-func (a *agent) hold(ctx context.Context, c claim, end int64) {
-	h := newHolder(a, c)
+// hold runs the holder until it loses the cell. An earlier holder may go on to renew
+// leases of workers for the time renewing.
+func (a *agent) hold(ctx context.Context, c claim, end int64, renewing time.Duration) {
+	h := newHolder(a, c, renewing)
 	a.set(h, nil)
 	cause := h.run(ctx, end)
 	a.set(nil, nil)
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -42,3 +42,17 @@
 	a.watch.since = time.Now().Add(-staleAfter)
 	assert.Equal(t, a.dialTimeout(), minDialTimeout)
 }
+
+// A holder that gives its cell up must renew no lease from then on: the next one
+// does not wait for renewals before it takes a worker that it cannot reach for empty.
+func TestReleaseEndsAuthority(t *testing.T) {
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{}), 0)
+	h := newHolder(a, claim{Term: 1}, authority)
+	assert.Assert(t, h.hasAuthority())
+	close(h.releasing)
+	assert.Assert(t, !h.hasAuthority())
+
+	late := newHolder(a, claim{Term: 1}, authority)
+	late.renewed -= authority // also if the VM was suspended meanwhile
+	assert.Assert(t, !late.hasAuthority())
+}
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -50,7 +50,7 @@
 	cause     string
 	releasing chan struct{} // closed when a planned stop begins
 	released  chan struct{} // closed when the tenure has ended
-	renewed   time.Time     // when the log last confirmed the claim
+	renewed   time.Duration // since boot, when the newest confirmed renewal was sent
 }
 
 // event is something that the control goroutine has to do.
@@ -78,7 +78,9 @@
 	maxEventsPerTurn = 256
 )
 
-func newHolder(a *agent, c claim) *holder {
+// newHolder returns a holder that has not begun. An earlier holder may go on to renew
+// leases of workers for the time renewing.
+func newHolder(a *agent, c claim, renewing time.Duration) *holder {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &holder{
 		agent: a, node: a.node, claim: c,
@@ -91,7 +93,7 @@
 		followers: map[string]*link.Link{},
 		releasing: make(chan struct{}),
 		released:  make(chan struct{}),
-		renewed:   time.Now(),
+		renewed:   clock.SinceBoot(),
 	}
 	h.writer = newRecordWriter(a.node.platform.Log, a.cell, c.Token, h.logger)
 	h.writer.fenced = func() { h.lose("records_fenced") }
@@ -99,7 +101,7 @@
 	cfg := a.node.cfg
 	h.sched = cell.New(cell.Config{
 		Term:          c.Term - 1,
-		RestoreUntil:  h.now() + cell.Instant(authority.Milliseconds()+leaseBound(cfg.LeaseMS)),
+		RestoreUntil:  h.now() + cell.Instant(renewing.Milliseconds()+leaseBound(cfg.LeaseMS)),
 		FarFactor:     cfg.FarFactor,
 		KeepEndedMS:   cfg.KeepEndedMS,
 		StopTimeoutMS: cfg.StopTimeoutMS,
--- a/internal/entry/tenure.go
+++ b/internal/entry/tenure.go
@@ -26,14 +26,24 @@
 	return h.writer.silent() > logSilence || h.sinceRenewal() > renewInterval+logSilence
 }
 
+// sinceRenewal returns how long ago the newest confirmed renewal was sent. It counts
+// the time in which the VM was suspended: another process may hold the cell since.
 func (h *holder) sinceRenewal() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return time.Since(h.renewed)
+	return clock.SinceBoot() - h.renewed
 }
 
-// hasAuthority reports whether the holder may still renew leases.
-func (h *holder) hasAuthority() bool { return h.sinceRenewal() < authority }
+// hasAuthority reports whether the holder may still renew leases. It ends before the
+// cell is given up, so that the next holder need not wait for renewals.
+func (h *holder) hasAuthority() bool {
+	select {
+	case <-h.releasing:
+		return false
+	default:
+		return h.sinceRenewal() < authority
+	}
+}
 
 // keepClaim renews the claim until the tenure ends.
 func (h *holder) keepClaim(end int64) {
@@ -50,7 +60,7 @@
 		case <-timer.C:
 		}
 		next.Beats++
-		sent := time.Now()
+		sent := clock.SinceBoot()
 		newEnd, err := h.agent.claims.append(h.ctx, next, end)
 		if err == nil {
 			end = newEnd
@@ -73,7 +83,8 @@
 	}
 }
 
-func (h *holder) confirm(at time.Time) {
+// confirm notes that a renewal was carried out that was sent at a time since boot.
+func (h *holder) confirm(at time.Duration) {
 	h.mu.Lock()
 	h.renewed = at
 	h.mu.Unlock()
