--- a/cmd/fulmarlatch-call/main.go
+++ b/cmd/fulmarlatch-call/main.go
@@ -30,11 +30,11 @@
 
 // options are the flags of all commands.
 type options struct {
-	Server  string        `help:"URL of an entry process or its load balancer." env:"FULMARLATCH_SERVER" default:"http://127.0.0.1:8080"`
-	Token   string        `help:"Bearer token of the team." env:"FULMARLATCH_TOKEN"`
-	Team    string        `help:"Team that the job belongs to." env:"FULMARLATCH_TEAM"`
-	Output  string        `help:"Format of the answer." enum:"text,json" default:"text"`
-	Timeout time.Duration `help:"Longest time for the call; 0 waits as long as the server."`
+	Server    string        `help:"URL of an entry process or its load balancer." env:"FULMARLATCH_SERVER" default:"http://127.0.0.1:8080"`
+	Token     string        `help:"Bearer token of the workspace." env:"FULMARLATCH_TOKEN"`
+	Workspace string        `help:"Workspace that the job belongs to." env:"FULMARLATCH_WORKSPACE"`
+	Output    string        `help:"Format of the answer." enum:"text,json" default:"text"`
+	Timeout   time.Duration `help:"Longest time for the call; 0 waits as long as the server."`
 }
 
 type commands struct {
@@ -47,10 +47,10 @@
 
 // session is what a command needs to run.
 type session struct {
-	ctx    context.Context
-	client *caller.Client
-	team   string
-	stdin  io.Reader
+	ctx       context.Context
+	client    *caller.Client
+	workspace string
+	stdin     io.Reader
 }
 
 type waitCommand struct {
@@ -124,7 +124,7 @@
 }
 
 func (o *options) call(c command, stdin io.Reader, stdout, stderr io.Writer) int {
-	client, err := caller.NewClient(o.Server, o.Token, o.Team)
+	client, err := caller.NewClient(o.Server, o.Token, o.Workspace)
 	if err != nil {
 		return wrongInput(stderr, err)
 	}
@@ -135,7 +135,7 @@
 		ctx, cancel = context.WithTimeout(ctx, o.Timeout)
 		defer cancel()
 	}
-	answer, err := c.Run(&session{ctx: ctx, client: client, team: o.Team, stdin: stdin})
+	answer, err := c.Run(&session{ctx: ctx, client: client, workspace: o.Workspace, stdin: stdin})
 	if err != nil {
 		return wrongInput(stderr, err)
 	}
--- a/cmd/fulmarlatch-call/main_test.go
+++ b/cmd/fulmarlatch-call/main_test.go
@@ -67,7 +67,7 @@
 		{"submit --class c --server http://127.0.0.1:1", exitNotRun, "", "no answer"},
 	} {
 		var stdout, stderr bytes.Buffer
-		args := strings.Fields("--token s --team t --server http://" + listener.Addr().String() + " " + c.args)
+		args := strings.Fields("--token s --workspace t --server http://" + listener.Addr().String() + " " + c.args)
 		code := run(args, strings.NewReader(`{"class":"failed","kind":"request"}`), &stdout, &stderr)
 		assert.Equal(t, code, c.code, "%s: %s", c.args, stderr.String())
 		assert.Assert(t, strings.Contains(stderr.String(), c.stderr), stderr.String())
--- a/cmd/fulmarlatch-call/submit.go
+++ b/cmd/fulmarlatch-call/submit.go
@@ -16,7 +16,7 @@
 type submitCommand struct {
 	File string `help:"JSON file with the job, - for standard input; --class and --payload are then refused and the other flags of the job ignored." placeholder:"PATH"`
 	Mint bool   `help:"Mint an id first, so that the outcome can be asked for after a lost answer."`
-	Key  string `help:"Idempotency key, unique within the team."`
+	Key  string `help:"Idempotency key, unique within the workspace."`
 	ID   string `help:"Id that was minted before."`
 
 	Class        string        `help:"Class of the job."`
@@ -39,8 +39,8 @@
 	if err != nil {
 		return api.Answer{}, err
 	}
-	if job.Team == "" {
-		job.Team = s.team
+	if job.Workspace == "" {
+		job.Workspace = s.workspace
 	}
 	if err := job.Check(); err != nil {
 		return api.Answer{}, err
--- a/cmd/fulmarlatch-load/main.go
+++ b/cmd/fulmarlatch-load/main.go
@@ -48,7 +48,7 @@
 type runCommand struct {
 	File   string            `arg:"" help:"Experiment file (JSON)."`
 	Entry  []string          `help:"Caller address of an entry process, instead of those in the file." placeholder:"URL"`
-	Token  map[string]string `help:"Token of a team, instead of the one in the file." placeholder:"TEAM=TOKEN"`
+	Token  map[string]string `help:"Token of a workspace, instead of the one in the file." placeholder:"WORKSPACE=TOKEN"`
 	Seed   *uint64           `help:"Seed, instead of the one in the file."`
 	Rate   float64           `help:"Factor for all rates." default:"1"`
 	Strict bool              `help:"Exit with 1 if an outcome is unknown."`
@@ -82,8 +82,8 @@
 	if c.Seed != nil {
 		e.Seed = *c.Seed
 	}
-	for team, token := range c.Token {
-		if err := e.SetToken(team, token); err != nil {
+	for workspace, token := range c.Token {
+		if err := e.SetToken(workspace, token); err != nil {
 			return e, err
 		}
 	}
--- a/cmd/fulmarlatch-load/main_test.go
+++ b/cmd/fulmarlatch-load/main_test.go
@@ -37,7 +37,7 @@
 	return nil
 }
 
-const experiment = `{"seed":1,"entries":["http://127.0.0.1:1"],"check_answers":true,"teams":[{"name":"a"}],
+const experiment = `{"seed":1,"entries":["http://127.0.0.1:1"],"check_answers":true,"workspaces":[{"name":"a"}],
  "works":{"w":{"class":"CLASS"}},"phases":[{"name":"p","duration_ms":100,"rate":50,"mix":[{"work":"w"}]}]}`
 
 // TestRun guards the exit codes, on which scripts rely, and the output.
@@ -69,7 +69,7 @@
 		{"run --strict --seed 2 " + wrong, exitOK, "kind=unavailable", ""},
 		{"run --output json --rate 2 --seed 3 " + lost + here, exitOK, `"rate": 100`, ""},
 		{"run --rate=-1 " + lost, exitWrongInput, "", "phases[0].rate"},
-		{"run --token b=c " + lost, exitWrongInput, "", "no team b"},
+		{"run --token b=c " + lost, exitWrongInput, "", "no workspace b"},
 		{"run " + malformed, exitWrongInput, "", "seed is -1"},
 		{"run missing.json", exitWrongInput, "", "cannot be read"},
 		{"check " + lost, exitOK, "ok name=", ""},
--- a/cmd/fulmarlatchctl/bundle.go
+++ b/cmd/fulmarlatchctl/bundle.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(t.out, "ok version=%d classes=%d teams=%d\n", b.Version, len(b.Classes), len(b.Teams))
+	fmt.Fprintf(t.out, "ok version=%d classes=%d workspaces=%d\n", b.Version, len(b.Classes), len(b.Workspaces))
 	return nil
 }
 
--- a/internal/api/job.go
+++ b/internal/api/job.go
@@ -27,11 +27,11 @@
 // Job is a caller's request after it has been checked.
 type Job struct {
 	ID         string    `json:"id" cbor:"1,keyasint"`
-	Team       string    `json:"team" cbor:"2,keyasint"`
+	Workspace  string    `json:"workspace" cbor:"2,keyasint"`
 	Class      string    `json:"class" cbor:"3,keyasint"`
 	Kind       Kind      `json:"kind" cbor:"4,keyasint"`
 	Idempotent bool      `json:"idempotent" cbor:"5,keyasint,omitempty"`
-	Key        string    `json:"key,omitempty" cbor:"6,keyasint,omitempty"` // the caller's idempotency key, unique per team
+	Key        string    `json:"key,omitempty" cbor:"6,keyasint,omitempty"` // the caller's idempotency key, unique per workspace
 	Tasks      int       `json:"tasks" cbor:"7,keyasint"`
 	Resources  Resources `json:"resources" cbor:"8,keyasint"` // of each task
 	// RunTimeMS is the declared run time of a task in milliseconds; 0 if unknown.
--- a/internal/api/worker.go
+++ b/internal/api/worker.go
@@ -36,7 +36,7 @@
 type TaskSpec struct {
 	Attempt     AttemptID `json:"attempt" cbor:"1,keyasint"`
 	Coordinator EntryRef  `json:"coordinator" cbor:"2,keyasint"`
-	Team        string    `json:"team" cbor:"3,keyasint"`
+	Workspace   string    `json:"workspace" cbor:"3,keyasint"`
 	Class       string    `json:"class" cbor:"4,keyasint"`
 	Kind        Kind      `json:"kind" cbor:"5,keyasint"`
 	Idempotent  bool      `json:"idempotent" cbor:"6,keyasint,omitempty"`
--- a/internal/bundle/chain_test.go
+++ b/internal/bundle/chain_test.go
@@ -29,14 +29,14 @@
 	}
 }
 
-// version returns a bundle whose teams section depends on n.
+// version returns a bundle whose workspaces section depends on n.
 func version(n uint64) Bundle {
 	b, err := Parse([]byte(goodBundle))
 	if err != nil {
 		panic(err)
 	}
 	b.Version = n
-	b.Teams = []Team{{Name: fmt.Sprintf("team-%d", n), Weight: 1}}
+	b.Workspaces = []Workspace{{Name: fmt.Sprintf("workspace-%d", n), Weight: 1}}
 	return b
 }
 
@@ -99,7 +99,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, change.Kind, Rolled)
 	assert.Equal(t, inForce(c), [2]uint64{3, 1})
-	assert.DeepEqual(t, change.Bundle.Teams, version(1).Teams)
+	assert.DeepEqual(t, change.Bundle.Workspaces, version(1).Workspaces)
 }
 
 // TestChainRejects guards against records that take effect without a valid
--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -15,7 +15,7 @@
 // Limits on a bundle, to bound memory and log records.
 const (
 	MaxClasses      = 64
-	MaxTeams        = 2000
+	MaxWorkspaces   = 2000
 	MaxDrained      = 4096
 	MaxCommentBytes = 1024
 	// MaxSectionBytes bounds the canonical form of one section.
@@ -55,7 +55,7 @@
 		p.Add("comment", fmt.Sprintf("has %d bytes", len(b.Comment)), fmt.Sprintf("use at most %d bytes", MaxCommentBytes))
 	}
 	checkClasses(&p, b.Classes)
-	checkTeams(&p, b.Teams)
+	checkWorkspaces(&p, b.Workspaces)
 	checkFleet(&p, b.Fleet)
 	checkTiming(&p, b.Timing)
 	return p
@@ -108,24 +108,24 @@
 	}
 }
 
-func checkTeams(p *strictjson.Problems, teams []Team) {
-	if len(teams) > MaxTeams {
-		p.Add("teams", fmt.Sprintf("has %d entries", len(teams)), fmt.Sprintf("list at most %d teams", MaxTeams))
+func checkWorkspaces(p *strictjson.Problems, workspaces []Workspace) {
+	if len(workspaces) > MaxWorkspaces {
+		p.Add("workspaces", fmt.Sprintf("has %d entries", len(workspaces)), fmt.Sprintf("list at most %d workspaces", MaxWorkspaces))
 	}
 	seen := map[string]bool{}
 	tokens := map[string]string{}
-	for i, t := range teams {
-		path := "teams[" + strconv.Itoa(i) + "]"
+	for i, t := range workspaces {
+		path := "workspaces[" + strconv.Itoa(i) + "]"
 		checkName(p, path, t.Name, seen)
-		checkTeam(p, path, t)
+		checkWorkspace(p, path, t)
 		if other, used := tokens[t.TokenHash]; used && t.TokenHash != "" {
-			p.Add(path+".token_hash", "is also that of team "+other, "give each team its own token")
+			p.Add(path+".token_hash", "is also that of workspace "+other, "give each workspace its own token")
 		}
 		tokens[t.TokenHash] = t.Name
 	}
 }
 
-func checkTeam(p *strictjson.Problems, path string, t Team) {
+func checkWorkspace(p *strictjson.Problems, path string, t Workspace) {
 	if !(t.Weight > 0 && t.Weight <= maxWeight) {
 		p.Add(path+".weight", fmt.Sprintf("is %g", t.Weight), fmt.Sprintf("use a number above 0 and at most %g", float64(maxWeight)))
 	}
@@ -237,8 +237,8 @@
 	b.Timing = b.Timing.withDefaults()
 	b.Classes = slices.Clone(b.Classes)
 	slices.SortStableFunc(b.Classes, func(x, y Class) int { return strings.Compare(x.Name, y.Name) })
-	b.Teams = append([]Team{}, b.Teams...)
-	slices.SortStableFunc(b.Teams, func(x, y Team) int { return strings.Compare(x.Name, y.Name) })
+	b.Workspaces = append([]Workspace{}, b.Workspaces...)
+	slices.SortStableFunc(b.Workspaces, func(x, y Workspace) int { return strings.Compare(x.Name, y.Name) })
 	b.Fleet.Drain = slices.Clone(b.Fleet.Drain)
 	slices.Sort(b.Fleet.Drain)
 	return b
--- a/internal/bundle/check_test.go
+++ b/internal/bundle/check_test.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	goodClass  = `{"name":"quick","rank":0,"floor":0.2,"ceiling":0.8,"queue_bound":10,"deadline_ms":0,"retry_budget":0.1,"max_attempts":2,"preemptible":false}`
-	goodTeam   = `{"name":"growers","weight":1,"quota":{"slots":5}}`
-	goodBundle = `{"version":1,"classes":[` + goodClass + `],"teams":[` + goodTeam + `],"fleet":{"packing_weight":0.5},"timing":{}}`
+	goodClass     = `{"name":"quick","rank":0,"floor":0.2,"ceiling":0.8,"queue_bound":10,"deadline_ms":0,"retry_budget":0.1,"max_attempts":2,"preemptible":false}`
+	goodWorkspace = `{"name":"growers","weight":1,"quota":{"slots":5}}`
+	goodBundle    = `{"version":1,"classes":[` + goodClass + `],"workspaces":[` + goodWorkspace + `],"fleet":{"packing_weight":0.5},"timing":{}}`
 )
 
 func with(old, new string) string { return strings.Replace(goodBundle, old, new, 1) }
@@ -37,12 +37,12 @@
 		{"not UTF-8", "{\"version\":1,\"comment\":\"\xff\"}", "document"},
 		{"data after end", goodBundle + `{}`, "document"},
 		{"list", `[]`, "document"},
-		{"null", with(`"teams":[`+goodTeam+`]`, `"teams":null`), "teams"},
+		{"null", with(`"workspaces":[`+goodWorkspace+`]`, `"workspaces":null`), "workspaces"},
 		{"deep nesting", with(`"version":1`, `"version":`+strings.Repeat("[", 50)), "document"},
 		{"unknown field", with(`"fleet":{`, `"fleet":{"speed":1,`), "fleet.speed"},
 		{"unknown field by case", with(`"version"`, `"Version"`), "Version"},
 		{"duplicate key", with(`"version":1`, `"version":1,"version":2`), "version"},
-		{"duplicate nested key", with(`"weight":1`, `"weight":1,"weight":2`), "teams[0].weight"},
+		{"duplicate nested key", with(`"weight":1`, `"weight":1,"weight":2`), "workspaces[0].weight"},
 		{"wrong type", with(`"rank":0`, `"rank":"0"`), "classes[0].rank"},
 		{"fraction", with(`"queue_bound":10`, `"queue_bound":1.5`), "classes[0].queue_bound"},
 		{"missing version", with(`"version":1,`, ``), "version"},
@@ -63,14 +63,14 @@
 		{"attempts", with(`"max_attempts":2`, `"max_attempts":0`), "classes[0].max_attempts"},
 		{"kind", with(`"max_attempts":2`, `"max_attempts":2,"kinds":["cron"]`), "classes[0].kinds[0]"},
 		{"duplicate kind", with(`"max_attempts":2`, `"max_attempts":2,"kinds":["batch","batch"]`), "classes[0].kinds[1]"},
-		{"duplicate team", with(goodTeam, goodTeam+`,`+goodTeam), "teams[1].name"},
-		{"team name", with(`"growers"`, `""`), "teams[0].name"},
-		{"weight", with(`"weight":1`, `"weight":0`), "teams[0].weight"},
-		{"quota", with(`"slots":5`, `"slots":-5`), "teams[0].quota.slots"},
-		{"token hash", with(`"weight":1`, `"weight":1,"token_hash":"abc"`), "teams[0].token_hash"},
-		{"shared token", with(goodTeam, many(2, `{"name":"t%d","weight":1,"quota":{},"token_hash":"`+strings.Repeat("ab", 32)+`"}`)), "teams[1].token_hash"},
+		{"duplicate workspace", with(goodWorkspace, goodWorkspace+`,`+goodWorkspace), "workspaces[1].name"},
+		{"workspace name", with(`"growers"`, `""`), "workspaces[0].name"},
+		{"weight", with(`"weight":1`, `"weight":0`), "workspaces[0].weight"},
+		{"quota", with(`"slots":5`, `"slots":-5`), "workspaces[0].quota.slots"},
+		{"token hash", with(`"weight":1`, `"weight":1,"token_hash":"abc"`), "workspaces[0].token_hash"},
+		{"shared token", with(goodWorkspace, many(2, `{"name":"t%d","weight":1,"quota":{},"token_hash":"`+strings.Repeat("ab", 32)+`"}`)), "workspaces[1].token_hash"},
 		{"too many classes", with(goodClass, many(MaxClasses+1, `{"name":"c%d","rank":0,"floor":0,"ceiling":1,"queue_bound":1,"deadline_ms":0,"retry_budget":0,"max_attempts":1,"preemptible":false}`)), "classes"},
-		{"too many teams", with(goodTeam, many(MaxTeams+1, `{"name":"t%d","weight":1,"quota":{}}`)), "teams"},
+		{"too many workspaces", with(goodWorkspace, many(MaxWorkspaces+1, `{"name":"t%d","weight":1,"quota":{}}`)), "workspaces"},
 		{"packing weight", with(`0.5`, `1.5`), "fleet.packing_weight"},
 		{"duplicate drain", with(`0.5`, `0.5,"drain":["w","w"]`), "fleet.drain[1]"},
 		{"empty drain", with(`0.5`, `0.5,"drain":[""]`), "fleet.drain[0]"},
@@ -116,16 +116,16 @@
 		word, _, _ := strings.Cut(e.Message, " ")
 		messages = append(messages, word)
 	}
-	assert.DeepEqual(t, messages, []string{"verson", "classes[0].rank", "version", "teams[0].weight"})
+	assert.DeepEqual(t, messages, []string{"verson", "classes[0].rank", "version", "workspaces[0].weight"})
 }
 
 // TestParseCanonical guards against two files of equal content with different
 // sections, which would make an unchanged section cost an append.
 func TestParseCanonical(t *testing.T) {
-	second := strings.Replace(goodTeam, "growers", "depots", 1)
-	a, err := Parse([]byte(with(goodTeam, goodTeam+`,`+second)))
+	second := strings.Replace(goodWorkspace, "growers", "depots", 1)
+	a, err := Parse([]byte(with(goodWorkspace, goodWorkspace+`,`+second)))
 	assert.NilError(t, err)
-	b, err := Parse([]byte(with(goodTeam, second+` , `+goodTeam)))
+	b, err := Parse([]byte(with(goodWorkspace, second+` , `+goodWorkspace)))
 	assert.NilError(t, err)
 	x, err := Canonical(a)
 	assert.NilError(t, err)
@@ -158,3 +158,10 @@
 	assert.Equal(t, got, want)
 	assert.ErrorContains(t, got.UnmarshalText(text[1:]), "hexadecimal digits")
 }
+
+// Bundles of earlier versions call workspaces by another name. Their operators must
+// read what to change rather than that a field is unknown.
+func TestFormerNameOfWorkspaces(t *testing.T) {
+	_, err := Parse([]byte(strings.Replace(goodBundle, `"workspaces"`, `"teams"`, 1)))
+	assert.ErrorContains(t, err, `rename the key to "workspaces"`)
+}
--- a/internal/bundle/fuzz_test.go
+++ b/internal/bundle/fuzz_test.go
@@ -13,7 +13,7 @@
 // bundle whose canonical form is refused.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(goodBundle))
-	f.Add([]byte(`{"version":1,"version":2,"classes":[{}],"teams":[null],"x":{"y":[]}}`))
+	f.Add([]byte(`{"version":1,"version":2,"classes":[{}],"workspaces":[null],"x":{"y":[]}}`))
 	for _, name := range []string{"order-desk", "enquiry-desk"} {
 		data, err := os.ReadFile("../../examples/" + name + "/bundle.json")
 		if err != nil {
--- a/internal/bundle/record.go
+++ b/internal/bundle/record.go
@@ -18,14 +18,14 @@
 
 // SectionHashes names the four sections of a bundle.
 type SectionHashes struct {
-	Classes Hash `cbor:"1,keyasint"`
-	Teams   Hash `cbor:"2,keyasint"`
-	Fleet   Hash `cbor:"3,keyasint"`
-	Timing  Hash `cbor:"4,keyasint"`
+	Classes    Hash `cbor:"1,keyasint"`
+	Workspaces Hash `cbor:"2,keyasint"`
+	Fleet      Hash `cbor:"3,keyasint"`
+	Timing     Hash `cbor:"4,keyasint"`
 }
 
 func (h SectionHashes) list() [numSections]Hash {
-	return [numSections]Hash{h.Classes, h.Teams, h.Fleet, h.Timing}
+	return [numSections]Hash{h.Classes, h.Workspaces, h.Fleet, h.Timing}
 }
 
 // RollRecord puts a bundle in force. The signature covers all other fields.
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -7,12 +7,12 @@
 
 // Bundle is the whole description that operators roll across the cell.
 type Bundle struct {
-	Version uint64  `json:"version"` // chosen by the operators, greater than 0, unique
-	Comment string  `json:"comment,omitempty"`
-	Classes []Class `json:"classes"`
-	Teams   []Team  `json:"teams"`
-	Fleet   Fleet   `json:"fleet"`
-	Timing  Timing  `json:"timing"`
+	Version    uint64      `json:"version"` // chosen by the operators, greater than 0, unique
+	Comment    string      `json:"comment,omitempty"`
+	Classes    []Class     `json:"classes"`
+	Workspaces []Workspace `json:"workspaces"`
+	Fleet      Fleet       `json:"fleet"`
+	Timing     Timing      `json:"timing"`
 }
 
 // Class is the policy for one kind of work.
@@ -24,7 +24,7 @@
 	Floor float64 `json:"floor"`
 	// Ceiling is the largest share of capacity, 0 to 1, that the class may take.
 	Ceiling float64 `json:"ceiling"`
-	// QueueBound is the largest number of waiting tasks per entry process. A team
+	// QueueBound is the largest number of waiting tasks per entry process. A workspace
 	// with less than its share of the bound waiting, by weight, is still admitted
 	// beyond it, so that up to twice the bound may wait.
 	QueueBound int `json:"queue_bound"`
@@ -42,15 +42,15 @@
 	Kinds []api.Kind `json:"kinds,omitempty"`
 }
 
-// Team is a group of callers.
-type Team struct {
+// Workspace is a group of callers.
+type Workspace struct {
 	Name string `json:"name"`
-	// Weight is the team's share relative to other teams of a class, above 0.
+	// Weight is the workspace's share relative to other workspaces of a class, above 0.
 	Weight float64 `json:"weight"`
-	// Quota bounds the resources in use by the team; a zero amount is no bound.
+	// Quota bounds the resources in use by the workspace; a zero amount is no bound.
 	Quota api.Resources `json:"quota"`
-	// TokenHash is the SHA-256 of the team's bearer token in hexadecimal; empty
-	// lets callers use the team without a token.
+	// TokenHash is the SHA-256 of the workspace's bearer token in hexadecimal; empty
+	// lets callers use the workspace without a token.
 	TokenHash string `json:"token_hash,omitempty"`
 }
 
--- a/internal/bundle/section.go
+++ b/internal/bundle/section.go
@@ -36,13 +36,13 @@
 // Sections of a bundle, in the order of SectionHashes.
 const (
 	sectionClasses = iota
-	sectionTeams
+	sectionWorkspaces
 	sectionFleet
 	sectionTiming
 	numSections
 )
 
-var sectionNames = [numSections]string{"classes", "teams", "fleet", "timing"}
+var sectionNames = [numSections]string{"classes", "workspaces", "fleet", "timing"}
 
 // Parse reads a bundle strictly, fills in default timing, puts lists in
 // canonical order and checks the result. The error holds one *fault.Error of
@@ -53,6 +53,9 @@
 		p.Add("document", fmt.Sprintf("has %d bytes", len(data)), fmt.Sprintf("use at most %d bytes", MaxBundleBytes))
 		return Bundle{}, p
 	}
+	if p := renamedKeys(data); len(p) > 0 {
+		return Bundle{}, p
+	}
 	b, p := strictjson.Decode(data, func(b *Bundle) strictjson.Problems {
 		*b = normalize(*b)
 		return check(*b)
@@ -64,8 +67,20 @@
 	return b, err
 }
 
+// renamedKeys reports keys of a bundle that have had another name before.
+func renamedKeys(data []byte) (p strictjson.Problems) {
+	var top map[string]json.RawMessage
+	if json.Unmarshal(data, &top) != nil {
+		return nil // the strict decoder says what is wrong
+	}
+	if _, old := top["teams"]; old {
+		p.Add("teams", `is the former name of "workspaces"`, `rename the key to "workspaces"; its entries are as before`)
+	}
+	return p
+}
+
 // Canonical returns the canonical JSON of a bundle: fixed field order, default
-// timing filled in, classes, teams and drained workers in order of names.
+// timing filled in, classes, workspaces and drained workers in order of names.
 func Canonical(b Bundle) ([]byte, error) {
 	data, err := json.Marshal(normalize(b))
 	if err != nil {
@@ -93,7 +108,7 @@
 	b = normalize(b)
 	var out [numSections]*section
 	var p strictjson.Problems
-	for i, value := range []any{b.Classes, b.Teams, b.Fleet, b.Timing} {
+	for i, value := range []any{b.Classes, b.Workspaces, b.Fleet, b.Timing} {
 		data, err := json.Marshal(value)
 		if err != nil {
 			p.Add(sectionNames[i], "cannot be encoded: "+err.Error(), "use finite numbers")
@@ -113,7 +128,7 @@
 	if s.value != nil && s.slot == slot {
 		return nil
 	}
-	target := []any{new([]Class), new([]Team), new(Fleet), new(Timing)}[slot]
+	target := []any{new([]Class), new([]Workspace), new(Fleet), new(Timing)}[slot]
 	dec := json.NewDecoder(bytes.NewReader(s.data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(target); err != nil {
@@ -136,8 +151,8 @@
 		switch v := s.value.(type) {
 		case *[]Class:
 			b.Classes = *v
-		case *[]Team:
-			b.Teams = *v
+		case *[]Workspace:
+			b.Workspaces = *v
 		case *Fleet:
 			b.Fleet = *v
 		case *Timing:
--- a/internal/caller/client.go
+++ b/internal/caller/client.go
@@ -34,15 +34,15 @@
 // Client calls the API of one server. Its methods may be called concurrently.
 // They observe the deadline of the context, not its cancellation.
 type Client struct {
-	http  *fasthttp.HostClient
-	base  string
-	token string
-	team  string
+	http      *fasthttp.HostClient
+	base      string
+	token     string
+	workspace string
 }
 
 // NewClient returns a client for a server such as http://host:port, acting for
-// a team with its token. The error is a *fault.Error of kind Invalid.
-func NewClient(server, token, team string) (*Client, error) {
+// a workspace with its token. The error is a *fault.Error of kind Invalid.
+func NewClient(server, token, workspace string) (*Client, error) {
 	u, err := url.Parse(server)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
 		return nil, fault.New(fault.Invalid, fmt.Sprintf("server %q is no URL", server), "use http://host:port")
@@ -59,9 +59,9 @@
 			MaxResponseBodySize:       maxResponseBytes,
 			RetryIfErr:                retryGet,
 		},
-		base:  u.Scheme + "://" + u.Host,
-		token: token,
-		team:  team,
+		base:      u.Scheme + "://" + u.Host,
+		token:     token,
+		workspace: workspace,
 	}, nil
 }
 
@@ -102,13 +102,13 @@
 // Submit submits a job and returns its answer. If the connection breaks, the
 // outcome is unknown; if there never was one, it is not_run, unless the job has an
 // id or key under which it may have been submitted before. A job that fails its
-// check is not sent. An empty team is replaced by the client's.
+// check is not sent. An empty workspace is replaced by the client's.
 func (c *Client) Submit(ctx context.Context, job api.Job) api.Answer {
 	if err := job.Check(); err != nil {
 		return api.RefuseSubmission(job, err)
 	}
-	if job.Team == "" {
-		job.Team = c.team
+	if job.Workspace == "" {
+		job.Workspace = c.workspace
 	}
 	body, err := json.Marshal(job)
 	if err != nil {
@@ -135,7 +135,7 @@
 	return c.answer(ctx, fasthttp.MethodDelete, c.jobPath(id, c.query()), api.Job{ID: id}, nil)
 }
 
-func (c *Client) query() url.Values { return url.Values{"team": {c.team}} }
+func (c *Client) query() url.Values { return url.Values{"workspace": {c.workspace}} }
 
 func (c *Client) jobPath(id string, query url.Values) string {
 	return "/v1/jobs/" + url.PathEscape(id) + "?" + query.Encode()
--- a/internal/caller/config.go
+++ b/internal/caller/config.go
@@ -15,12 +15,12 @@
 	// Do carries out one operation. A refusal is an answer with outcome not_run.
 	// An error means that there is no answer, and the caller receives unknown. Do
 	// returns soon after ctx has ended. For operations other than submit only ID
-	// and Team of the job are set.
+	// and Workspace of the job are set.
 	Do(ctx context.Context, operation message.Operation, job api.Job) (api.Answer, error)
 	// MintID returns a new job id of this process.
 	MintID() (string, error)
-	// Authorize returns an error of kind Unauthorized if the token is not the team's.
-	Authorize(token string, team string) error
+	// Authorize returns an error of kind Unauthorized if the token is not the workspace's.
+	Authorize(token string, workspace string) error
 }
 
 // Defaults of Config.
--- a/internal/caller/doc.go
+++ b/internal/caller/doc.go
@@ -1,11 +1,11 @@
 // Package caller is the HTTP API for callers and its client.
 //
-//	POST   /v1/ids?team=T              mints a job id
+//	POST   /v1/ids?workspace=T              mints a job id
 //	POST   /v1/jobs                    submits a job (JSON of api.Job)
-//	GET    /v1/jobs/{id}?team=T&wait_ms=N  asks for the state, or waits for the end
-//	DELETE /v1/jobs/{id}?team=T        cancels
+//	GET    /v1/jobs/{id}?workspace=T&wait_ms=N  asks for the state, or waits for the end
+//	DELETE /v1/jobs/{id}?workspace=T        cancels
 //
-// Every request carries the team's token as "Authorization: Bearer TOKEN". The
+// Every request carries the workspace's token as "Authorization: Bearer TOKEN". The
 // header Idempotency-Key stands for the job's field key. Every response is a
 // JSON object with job_id, outcome, error, answer (the upstream's JSON answer,
 // unchanged) or answer_base64 (an answer that is not JSON), wait_ms and tasks.
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -86,7 +86,7 @@
 }
 
 func (s *Server) mint(c fiber.Ctx) error {
-	if err := s.authorize(c, c.Query("team")); err != nil {
+	if err := s.authorize(c, c.Query("workspace")); err != nil {
 		return s.reply(c, api.Refuse("", err))
 	}
 	id, err := s.cfg.Backend.MintID()
@@ -118,7 +118,7 @@
 	if err != nil {
 		return job, err
 	}
-	if err := s.authorize(c, job.Team); err != nil {
+	if err := s.authorize(c, job.Workspace); err != nil {
 		return job, err
 	}
 	if err := applyKey(&job, strings.Clone(c.Get("Idempotency-Key"))); err != nil {
@@ -144,8 +144,8 @@
 
 // ask carries out an operation on a job that was submitted before.
 func (s *Server) ask(c fiber.Ctx, operation message.Operation, limit time.Duration) error {
-	job := api.Job{ID: jobID(c), Team: strings.Clone(c.Query("team"))}
-	if err := s.authorize(c, job.Team); err != nil {
+	job := api.Job{ID: jobID(c), Workspace: strings.Clone(c.Query("workspace"))}
+	if err := s.authorize(c, job.Workspace); err != nil {
 		return s.reply(c, undecided(job.ID, err))
 	}
 	if !s.enter() {
@@ -225,18 +225,18 @@
 
 func (s *Server) leave() { <-s.waiting }
 
-func (s *Server) authorize(c fiber.Ctx, team string) error {
-	if team == "" {
-		return fault.New(fault.Unauthorized, "the team is missing", "name the team, and send its token in the header Authorization: Bearer")
+func (s *Server) authorize(c fiber.Ctx, workspace string) error {
+	if workspace == "" {
+		return fault.New(fault.Unauthorized, "the workspace is missing", "name the workspace, and send its token in the header Authorization: Bearer")
 	}
-	// A team without a token hash is open, so a missing token is for the backend
+	// A workspace without a token hash is open, so a missing token is for the backend
 	// to judge.
 	header := c.Get(fiber.HeaderAuthorization)
 	token, ok := strings.CutPrefix(header, "Bearer ")
 	if !ok && header != "" {
-		return fault.New(fault.Unauthorized, "the header Authorization has no bearer token", "send the header Authorization: Bearer with the team's token")
+		return fault.New(fault.Unauthorized, "the header Authorization has no bearer token", "send the header Authorization: Bearer with the workspace's token")
 	}
-	return s.cfg.Backend.Authorize(strings.Clone(token), strings.Clone(team))
+	return s.cfg.Backend.Authorize(strings.Clone(token), strings.Clone(workspace))
 }
 
 func (s *Server) reply(c fiber.Ctx, answer api.Answer) error {
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -34,9 +34,9 @@
 	return f(ctx, operation, job)
 }
 func (doFunc) MintID() (string, error) { return "entry.1.1", nil }
-func (doFunc) Authorize(token, team string) error {
-	if token != "secret" || team != "team" {
-		return fault.New(fault.Unauthorized, "the token is wrong", "use the token of the team")
+func (doFunc) Authorize(token, workspace string) error {
+	if token != "secret" || workspace != "workspace" {
+		return fault.New(fault.Unauthorized, "the token is wrong", "use the token of the workspace")
 	}
 	return nil
 }
@@ -51,7 +51,7 @@
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(listener) }()
 	address := "http://" + listener.Addr().String()
-	c, err := NewClient(address, "secret", "team")
+	c, err := NewClient(address, "secret", "workspace")
 	assert.NilError(t, err)
 	_, err = c.Mint(context.Background()) // the server is ready
 	assert.NilError(t, err)
@@ -87,7 +87,7 @@
 
 var job = api.Job{ID: "entry.1.1", Class: "quick", Kind: api.KindRequest, Tasks: 1}
 
-const jobJSON = `{"team":"team","class":"quick","kind":"request"}`
+const jobJSON = `{"workspace":"workspace","class":"quick","kind":"request"}`
 
 // TestOperations guards against operations that reach the backend as others.
 func TestOperations(t *testing.T) {
@@ -120,16 +120,16 @@
 		headers            []string
 	}{
 		{"POST", "/v1/jobs", `{"clas":1}`, 400, `field \"clas\" is unknown`, nil},
-		{"POST", "/v1/jobs", `{"team":"team","class":"c","kind":"x"}`, 400, "field kind", nil},
-		{"POST", "/v1/jobs", `{"team":"team","key":"a"}`, 400, "Idempotency-Key differs", []string{"Idempotency-Key", "b"}},
+		{"POST", "/v1/jobs", `{"workspace":"workspace","class":"c","kind":"x"}`, 400, "field kind", nil},
+		{"POST", "/v1/jobs", `{"workspace":"workspace","key":"a"}`, 400, "Idempotency-Key differs", []string{"Idempotency-Key", "b"}},
 		{"POST", "/v1/jobs", jobJSON, 401, `"not_run"`, []string{"Authorization", "Bearer wrong"}},
 		{"POST", "/v1/jobs", jobJSON, 401, "bearer token", []string{"Authorization", "secret"}},
 		{"POST", "/v1/jobs", jobJSON, 401, "wrong", []string{"Authorization", ""}},
-		{"POST", "/v1/jobs", `{"class":"c","kind":"request"}`, 401, "the team is missing", nil},
-		{"POST", "/v1/ids?team=other", "", 401, `"unauthorized"`, nil},
-		{"GET", "/v1/jobs/j?team=team&wait_ms=-1", "", 400, "wait_ms", nil},
+		{"POST", "/v1/jobs", `{"class":"c","kind":"request"}`, 401, "the workspace is missing", nil},
+		{"POST", "/v1/ids?workspace=other", "", 401, `"unauthorized"`, nil},
+		{"GET", "/v1/jobs/j?workspace=workspace&wait_ms=-1", "", 400, "wait_ms", nil},
 		{"GET", "/v1/jobs/j", "", 401, `"unknown"`, nil},
-		{"DELETE", "/v1/jobs/j?team=other", "", 401, `"unknown"`, nil},
+		{"DELETE", "/v1/jobs/j?workspace=other", "", 401, `"unknown"`, nil},
 		{"GET", "/v2", "", 404, `"not_found"`, nil},
 		{"PUT", "/v1/jobs", "", 405, `"invalid"`, nil},
 	} {
@@ -276,7 +276,7 @@
 		panic(http.ErrAbortHandler)
 	})}
 	go func() { _ = server.Serve(listener) }()
-	c, err := NewClient("http://"+listener.Addr().String(), "secret", "team")
+	c, err := NewClient("http://"+listener.Addr().String(), "secret", "workspace")
 	assert.NilError(t, err)
 	ctx := context.Background()
 	for _, call := range []struct {
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -41,7 +41,7 @@
 	tried     []string // names of holders, while it looks for room
 	preempted bool
 	cancelled bool
-	counted   bool // in the use of the class and the team
+	counted   bool // in the use of the class and the workspace
 	end       *record.End
 }
 
@@ -55,24 +55,24 @@
 
 // attemptTable holds the attempts that this process coordinates.
 type attemptTable struct {
-	byID      map[api.AttemptID]*attempt
-	byTask    map[taskRef]*attempt
-	byWorker  map[string]map[api.AttemptID]*attempt
-	reserving map[api.AttemptID]*attempt
-	stranded  map[api.AttemptID]*attempt
-	teamUse   map[string]api.Resources
-	delayed   []delayedItem
-	failures  int // tasks without room since the last tick
+	byID         map[api.AttemptID]*attempt
+	byTask       map[taskRef]*attempt
+	byWorker     map[string]map[api.AttemptID]*attempt
+	reserving    map[api.AttemptID]*attempt
+	stranded     map[api.AttemptID]*attempt
+	workspaceUse map[string]api.Resources
+	delayed      []delayedItem
+	failures     int // tasks without room since the last tick
 }
 
 func newAttemptTable() attemptTable {
 	return attemptTable{
-		byID:      make(map[api.AttemptID]*attempt),
-		byTask:    make(map[taskRef]*attempt),
-		byWorker:  make(map[string]map[api.AttemptID]*attempt),
-		reserving: make(map[api.AttemptID]*attempt),
-		stranded:  make(map[api.AttemptID]*attempt),
-		teamUse:   make(map[string]api.Resources),
+		byID:         make(map[api.AttemptID]*attempt),
+		byTask:       make(map[taskRef]*attempt),
+		byWorker:     make(map[string]map[api.AttemptID]*attempt),
+		reserving:    make(map[api.AttemptID]*attempt),
+		stranded:     make(map[api.AttemptID]*attempt),
+		workspaceUse: make(map[string]api.Resources),
 	}
 }
 
@@ -141,7 +141,7 @@
 	}})
 }
 
-// count adds the attempt to the use of its class and team.
+// count adds the attempt to the use of its class and workspace.
 func (c *Core) count(a *attempt) {
 	if a.counted {
 		return
@@ -149,8 +149,8 @@
 	a.counted = true
 	it := a.unit()
 	c.queue.Started(c.now, it)
-	team := a.job.spec.Team
-	c.attempts.teamUse[team] = c.attempts.teamUse[team].Add(a.job.spec.Resources)
+	workspace := a.job.spec.Workspace
+	c.attempts.workspaceUse[workspace] = c.attempts.workspaceUse[workspace].Add(a.job.spec.Resources)
 }
 
 func (c *Core) uncount(a *attempt) {
@@ -163,13 +163,13 @@
 		ran = c.now.Sub(a.started)
 	}
 	c.queue.Finished(c.now, a.unit(), ran)
-	team := a.job.spec.Team
-	left := c.attempts.teamUse[team].Sub(a.job.spec.Resources)
+	workspace := a.job.spec.Workspace
+	left := c.attempts.workspaceUse[workspace].Sub(a.job.spec.Resources)
 	if left == (api.Resources{}) {
-		delete(c.attempts.teamUse, team)
+		delete(c.attempts.workspaceUse, workspace)
 		return
 	}
-	c.attempts.teamUse[team] = left
+	c.attempts.workspaceUse[workspace] = left
 }
 
 // unit returns the queue item of this one task; a gang's item covers all tasks.
--- a/internal/core/caller_test.go
+++ b/internal/core/caller_test.go
@@ -26,7 +26,7 @@
 	cell.ask("e0", 1, message.OpSubmit, job)
 	cell.advance(time.Second)
 	for token := uint64(10); token < 20; token++ {
-		cell.ask("e0", token, message.OpStatus, api.Job{ID: job.ID, Team: "a"})
+		cell.ask("e0", token, message.OpStatus, api.Job{ID: job.ID, Workspace: "a"})
 	}
 	cell.advance(time.Second)
 	assert.Equal(t, len(cell.procs["e0"].core.requests.jobs), 1)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -163,7 +163,7 @@
 	switch m := m.(type) {
 	case message.Summary:
 		c.peerSummary(from, m)
-	case message.TeamUse:
+	case message.WorkspaceUse:
 		c.peerUse(from, m)
 	case message.Reserve:
 		c.reserve(from, m)
@@ -221,7 +221,7 @@
 	c.adoptJobs()
 	c.refreshJobs()
 	c.forgetFinished()
-	c.shareTeamUse()
+	c.shareWorkspaceUse()
 	c.updateUseElsewhere()
 }
 
@@ -313,7 +313,7 @@
 	isFirst := c.policy == nil
 	c.policy = &policy{classes: classes, timing: newTiming(e.Bundle.Timing)}
 	c.pool.SetPolicy(e.Bundle.Classes, e.Bundle.Fleet)
-	for _, it := range c.queue.SetPolicy(e.Bundle.Classes, e.Bundle.Teams) {
+	for _, it := range c.queue.SetPolicy(e.Bundle.Classes, e.Bundle.Workspaces) {
 		c.refuseRemoved(it)
 	}
 	if isFirst {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -13,7 +13,7 @@
 )
 
 func request(run time.Duration) api.Job {
-	return api.Job{Team: "a", Class: "urgent", Kind: api.KindRequest, Tasks: 1, Idempotent: true,
+	return api.Job{Workspace: "a", Class: "urgent", Kind: api.KindRequest, Tasks: 1, Idempotent: true,
 		Resources: api.Resources{CPUMilli: 1000, MemoryMB: 1000, Slots: 1}, RunTimeMS: run.Milliseconds()}
 }
 
@@ -134,7 +134,7 @@
 	cell.advance(2 * time.Second)
 	cell.kill("e0")
 	cell.advance(30 * time.Second)
-	cell.ask("e1", 2, message.OpStatus, api.Job{ID: accepted.JobID, Team: "a"})
+	cell.ask("e1", 2, message.OpStatus, api.Job{ID: accepted.JobID, Workspace: "a"})
 	cell.advance(time.Second)
 	status := cell.answer("e1", 2)
 	assert.Equal(t, status.Outcome, api.OutcomeCompleted)
@@ -157,7 +157,7 @@
 	cell.resume("e0")
 	cell.advance(40 * time.Second)
 	id := cell.answer("e0", 1).JobID
-	cell.ask("e1", 2, message.OpStatus, api.Job{ID: id, Team: "a"})
+	cell.ask("e1", 2, message.OpStatus, api.Job{ID: id, Workspace: "a"})
 	cell.advance(time.Second)
 	assert.Equal(t, cell.answer("e1", 2).Outcome, api.OutcomeCompleted)
 	assert.Equal(t, cell.ran[id], 40)
@@ -307,7 +307,7 @@
 	cell.kill("e0")
 	cell.advance(30 * time.Second)
 	id := cell.answer("e0", 90).JobID
-	cell.ask("e1", 91, message.OpStatus, api.Job{ID: id, Team: "a"})
+	cell.ask("e1", 91, message.OpStatus, api.Job{ID: id, Workspace: "a"})
 	cell.advance(time.Second)
 	assert.Equal(t, cell.answer("e1", 91).Outcome, api.OutcomeCompleted)
 }
@@ -326,7 +326,7 @@
 	}
 	cell.advance(time.Second)
 	for i, id := range ids {
-		cell.ask("e1", uint64(100+i), message.OpCancel, api.Job{ID: id, Team: "a"})
+		cell.ask("e1", uint64(100+i), message.OpCancel, api.Job{ID: id, Workspace: "a"})
 	}
 	cell.advance(3 * time.Second)
 	for i, id := range ids {
@@ -354,7 +354,7 @@
 		cell.advance(20 * time.Second)
 		assert.Equal(t, cell.ran[id], 4, "after %d kills", i+1)
 	}
-	cell.ask("e2", 5, message.OpCancel, api.Job{ID: id, Team: "a"})
+	cell.ask("e2", 5, message.OpCancel, api.Job{ID: id, Workspace: "a"})
 	cell.advance(3 * time.Second)
 	assert.Equal(t, cell.answer("e2", 5).Error.Kind, fault.Cancelled)
 	for name, w := range cell.workers {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -103,7 +103,7 @@
 type CallerRequest struct {
 	Token     uint64
 	Operation message.Operation
-	// Job is whole for submit. For the other operations only ID and Team are
+	// Job is whole for submit. For the other operations only ID and Workspace are
 	// set. An empty ID on submit lets the core mint one.
 	Job api.Job
 }
--- a/internal/core/fakes_test.go
+++ b/internal/core/fakes_test.go
@@ -91,7 +91,7 @@
 		{Name: "urgent", Rank: 1, Floor: 0.2, Ceiling: 1, QueueBound: 1000, DeadlineMS: 20000, RetryBudget: 0.5, MaxAttempts: 3},
 		{Name: "bulk", Rank: 5, Floor: 0.1, Ceiling: 1, QueueBound: 5000, RetryBudget: 0.5, MaxAttempts: 3, Preemptible: true},
 	}
-	b.Teams = []bundle.Team{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}
+	b.Workspaces = []bundle.Workspace{{Name: "a", Weight: 1}, {Name: "b", Weight: 1}}
 	return b
 }
 
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -88,16 +88,16 @@
 	f.cell.listVM(w.vm)
 }
 
-// changeBundle takes a class or a team out of the bundle, or sets a quota.
+// changeBundle takes a class or a workspace out of the bundle, or sets a quota.
 func (f *faultDriver) changeBundle() {
 	b := testBundle()
 	switch rapid.IntRange(0, 3).Draw(f.rt, "bundle") {
 	case 0:
 		b.Classes = b.Classes[:1]
 	case 1:
-		b.Teams = b.Teams[1:]
+		b.Workspaces = b.Workspaces[1:]
 	case 2:
-		b.Teams[0].Quota = api.Resources{CPUMilli: 3000}
+		b.Workspaces[0].Quota = api.Resources{CPUMilli: 3000}
 	}
 	f.cell.putInForce(b)
 }
@@ -118,7 +118,7 @@
 	for _, id := range f.cell.acceptedIDs(api.KindService) {
 		for _, p := range f.cell.sorted() {
 			f.token++
-			f.cell.ask(p.ref.Name, f.token, message.OpCancel, api.Job{ID: id, Team: "a"})
+			f.cell.ask(p.ref.Name, f.token, message.OpCancel, api.Job{ID: id, Workspace: "a"})
 		}
 	}
 }
@@ -141,7 +141,7 @@
 		assert.Equal(f.rt, len(c.attempts.byID), 0, "unfinished attempts at %s", p.ref)
 		assert.Equal(f.rt, len(c.attempts.byWorker), 0, "bound attempts at %s", p.ref)
 		assert.Equal(f.rt, len(c.attempts.delayed), 0, "delayed tasks at %s", p.ref)
-		assert.Equal(f.rt, len(c.attempts.teamUse), 0, "use left at %s", p.ref)
+		assert.Equal(f.rt, len(c.attempts.workspaceUse), 0, "use left at %s", p.ref)
 		assert.Equal(f.rt, len(c.requests.jobs)+len(c.requests.forwards), 0, "waiting callers at %s", p.ref)
 		assert.Equal(f.rt, len(c.held.reservations), 0, "reservations at %s", p.ref)
 		assert.Equal(f.rt, c.queue.Len(), 0, "waiting items at %s", p.ref)
--- a/internal/core/flood_test.go
+++ b/internal/core/flood_test.go
@@ -23,21 +23,21 @@
 
 // arrival is one request of the open-loop load.
 type arrival struct {
-	at    time.Duration // since the start
-	class string
-	team  string
-	need  api.Resources
-	run   time.Duration
+	at        time.Duration // since the start
+	class     string
+	workspace string
+	need      api.Resources
+	run       time.Duration
 }
 
 // kindOfWork is one stream of arrivals. Load is the share of the cell's
 // processors that it asks for.
 type kindOfWork struct {
-	class, team string
-	cpu         int64
-	run         time.Duration
-	load        float64
-	from        time.Duration
+	class, workspace string
+	cpu              int64
+	run              time.Duration
+	load             float64
+	from             time.Duration
 }
 
 func baseLoad(load float64) []kindOfWork {
@@ -70,7 +70,7 @@
 				break
 			}
 			run := w.run/2 + time.Duration(rng.Int64N(int64(w.run)))
-			list[step] = append(list[step], arrival{time.Duration(at * float64(time.Second)), w.class, w.team,
+			list[step] = append(list[step], arrival{time.Duration(at * float64(time.Second)), w.class, w.workspace,
 				api.Resources{CPUMilli: w.cpu, MemoryMB: 2 * w.cpu, Slots: 1, Connections: 1}, run})
 		}
 	}
@@ -80,7 +80,7 @@
 	return list
 }
 
-// tally is what became of the arrivals of one class and team after the warm-up.
+// tally is what became of the arrivals of one class and workspace after the warm-up.
 // Goodput counts only what ended before the end of the arrivals.
 type tally struct {
 	offered, completed int
@@ -92,7 +92,7 @@
 type tallies map[[2]string]*tally
 
 func (t tallies) of(a arrival) *tally {
-	key := [2]string{a.class, a.team}
+	key := [2]string{a.class, a.workspace}
 	if t[key] == nil {
 		t[key] = &tally{}
 	}
@@ -116,7 +116,7 @@
 		{Name: "normal", Rank: 3, Floor: 0.25, Ceiling: 0.8, QueueBound: 1000, DeadlineMS: 30000, RetryBudget: 0.1, MaxAttempts: 2},
 		{Name: "bulk", Rank: 5, Floor: 0.2, Ceiling: 0.8, QueueBound: 2000, RetryBudget: 0.1, MaxAttempts: 2, Preemptible: true},
 	}
-	b.Teams = []bundle.Team{{Name: "base", Weight: 1}, {Name: "flood", Weight: 1}}
+	b.Workspaces = []bundle.Workspace{{Name: "base", Weight: 1}, {Name: "flood", Weight: 1}}
 	return b
 }
 
@@ -137,7 +137,7 @@
 		for _, a := range list {
 			token++
 			byToken[token] = a
-			cell.ask(fmt.Sprintf("e%d", token%3), token, message.OpSubmit, api.Job{Class: a.class, Team: a.team,
+			cell.ask(fmt.Sprintf("e%d", token%3), token, message.OpSubmit, api.Job{Class: a.class, Workspace: a.workspace,
 				Kind: api.KindRequest, Idempotent: true, Tasks: 1, Resources: a.need, RunTimeMS: a.run.Milliseconds()})
 		}
 		cell.step()
--- a/internal/core/gang_test.go
+++ b/internal/core/gang_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// TestCancelledGangLeavesNoUse guards against use of a team that is never given
+// TestCancelledGangLeavesNoUse guards against use of a workspace that is never given
 // back: a task of a gang that is tried again by itself is cancelled while it looks
 // for room.
 func TestCancelledGangLeavesNoUse(t *testing.T) {
--- a/internal/core/holder.go
+++ b/internal/core/holder.go
@@ -319,7 +319,7 @@
 	c.pool.Release(t.spec.Attempt)
 	if !wasInterrupted(e.Report) {
 		ok := e.Report.Outcome == api.OutcomeCompleted
-		c.pool.RecordOutcome(c.now, e.Worker, t.spec.Class, t.spec.Team, ok)
+		c.pool.RecordOutcome(c.now, e.Worker, t.spec.Class, t.spec.Workspace, ok)
 	}
 	c.queue.RoomFreed(c.now)
 	c.send(t.spec.Coordinator, message.Ended{Report: *t.report})
--- a/internal/core/holder_test.go
+++ b/internal/core/holder_test.go
@@ -78,7 +78,7 @@
 // runningAt is the report of a logged attempt that runs.
 func runningAt(id api.AttemptID, coordinator api.EntryRef) api.TaskReport {
 	return api.TaskReport{State: api.TaskRunning, Spec: api.TaskSpec{
-		Attempt: id, Coordinator: coordinator, Team: "a", Class: "bulk", Kind: api.KindBatch,
+		Attempt: id, Coordinator: coordinator, Workspace: "a", Class: "bulk", Kind: api.KindBatch,
 		Resources: api.Resources{CPUMilli: 1000, MemoryMB: 1000, Slots: 1},
 	}}
 }
--- a/internal/core/identity.go
+++ b/internal/core/identity.go
@@ -109,7 +109,7 @@
 		c.operateElsewhere(w, op, spec)
 		return
 	}
-	if j.spec.Team != spec.Team {
+	if j.spec.Workspace != spec.Workspace {
 		c.reply(w, errorAnswer(spec.ID, errNotFound(spec.ID)))
 		return
 	}
@@ -160,7 +160,7 @@
 // submitMinted takes a job under an id that an entry process minted. Only that
 // incarnation can tell whether the id was used, so the job never runs elsewhere.
 func (c *Core) submitMinted(w waiter, spec api.Job) {
-	if j := c.jobs.byID[spec.ID]; j != nil && j.spec.Team == spec.Team && j.spec.Kind.Logged() {
+	if j := c.jobs.byID[spec.ID]; j != nil && j.spec.Workspace == spec.Workspace && j.spec.Kind.Logged() {
 		c.replyAccepted(w, j) // every process knows the jobs in the log
 		return
 	}
@@ -175,7 +175,7 @@
 	}
 	j := c.jobs.byID[spec.ID]
 	switch {
-	case j != nil && j.spec.Team != spec.Team:
+	case j != nil && j.spec.Workspace != spec.Workspace:
 		c.reply(w, errorAnswer(spec.ID, errNotFound(spec.ID)))
 	case j != nil && !j.mayRestart():
 		c.attach(w, j)
@@ -202,7 +202,7 @@
 
 // submitKeyed takes a job under the caller's idempotency key.
 func (c *Core) submitKeyed(w waiter, spec api.Job) {
-	ref := keyRef{spec.Team, spec.Key}
+	ref := keyRef{spec.Workspace, spec.Key}
 	k := c.jobs.keys[ref]
 	if k == nil {
 		spec.ID = c.nextID()
@@ -240,7 +240,7 @@
 
 // dropPendingClaim frees a key whose claim was never appended.
 func (c *Core) dropPendingClaim(spec api.Job) {
-	ref := keyRef{spec.Team, spec.Key}
+	ref := keyRef{spec.Workspace, spec.Key}
 	if k := c.jobs.keys[ref]; k != nil && k.jobID == spec.ID && !k.won && c.jobs.byID[spec.ID] == nil {
 		delete(c.jobs.keys, ref)
 	}
@@ -248,7 +248,7 @@
 
 // ownsKey reports whether the job's key was read from the log as this job's.
 func (c *Core) ownsKey(spec api.Job) bool {
-	k := c.jobs.keys[keyRef{spec.Team, spec.Key}]
+	k := c.jobs.keys[keyRef{spec.Workspace, spec.Key}]
 	return k != nil && k.won && k.jobID == spec.ID
 }
 
@@ -315,7 +315,7 @@
 }
 
 func errNotFound(id string) *fault.Error {
-	return fault.New(fault.NotFound, fmt.Sprintf("job %q is not known here", id), "check the id and the team")
+	return fault.New(fault.NotFound, fmt.Sprintf("job %q is not known here", id), "check the id and the workspace")
 }
 
 func errForgotten(id string) *fault.Error {
--- a/internal/core/job.go
+++ b/internal/core/job.go
@@ -119,8 +119,8 @@
 	keysChecked time.Time
 }
 
-// keyRef names an idempotency key of a team.
-type keyRef struct{ team, key string }
+// keyRef names an idempotency key of a workspace.
+type keyRef struct{ workspace, key string }
 
 // claim is the first use of an idempotency key.
 type claim struct {
@@ -307,7 +307,7 @@
 	}
 	return queue.Item{
 		Key:       queue.Key{JobID: j.spec.ID, Task: taskNumber},
-		Team:      j.spec.Team,
+		Workspace: j.spec.Workspace,
 		Class:     j.spec.Class,
 		Kind:      j.spec.Kind,
 		Resources: j.spec.Resources,
--- a/internal/core/lost_test.go
+++ b/internal/core/lost_test.go
@@ -29,7 +29,7 @@
 	cell.advance(lostRetrySpread / 3)
 	assert.Assert(t, cell.ran[id] < 24, "all lost tasks were started again within %v", lostRetrySpread/3)
 	cell.advance(lostRetrySpread + 20*time.Second)
-	cell.ask("e1", 2, message.OpStatus, api.Job{ID: id, Team: "a"})
+	cell.ask("e1", 2, message.OpStatus, api.Job{ID: id, Workspace: "a"})
 	cell.advance(time.Second)
 	assert.Equal(t, cell.answer("e1", 2).Outcome, api.OutcomeCompleted)
 }
--- a/internal/core/measure_rig_test.go
+++ b/internal/core/measure_rig_test.go
@@ -80,11 +80,11 @@
 }
 
 func (r *rig) job() api.Job {
-	class, team := "urgent", "a"
+	class, workspace := "urgent", "a"
 	if r.rng.IntN(2) == 0 {
-		class, team = "bulk", "b"
+		class, workspace = "bulk", "b"
 	}
-	return api.Job{Class: class, Team: team, Kind: api.KindRequest, Idempotent: true, Tasks: 1, RunTimeMS: 1000,
+	return api.Job{Class: class, Workspace: workspace, Kind: api.KindRequest, Idempotent: true, Tasks: 1, RunTimeMS: 1000,
 		Resources: api.Resources{CPUMilli: 500 + r.rng.Int64N(1500), MemoryMB: 500 + r.rng.Int64N(3000), Slots: 1, Connections: 1}}
 }
 
--- a/internal/core/measure_test.go
+++ b/internal/core/measure_test.go
@@ -109,7 +109,7 @@
 
 func (r *rig) claimKeys(from, to int) {
 	for i := from; i < to; i++ {
-		claim := &record.Claim{Team: "a", Key: fmt.Sprintf("order-%08d", i), JobID: api.NewJobID(rigPeer, uint64(i+1))}
+		claim := &record.Claim{Workspace: "a", Key: fmt.Sprintf("order-%08d", i), JobID: api.NewJobID(rigPeer, uint64(i+1))}
 		r.step(RecordRead{Offset: uint64(i), Record: record.Record{Writer: rigPeer, Sequence: uint64(i + 1), Claim: claim}})
 	}
 }
@@ -199,7 +199,7 @@
 	for i := from; i < to; i++ {
 		id := api.AttemptID{Job: api.NewJobID(rigPeer, uint64(i)), Number: 1}
 		j := r.job()
-		spec := api.TaskSpec{Coordinator: rigPeer, Team: j.Team, Class: j.Class, Kind: j.Kind, Resources: j.Resources}
+		spec := api.TaskSpec{Coordinator: rigPeer, Workspace: j.Workspace, Class: j.Class, Kind: j.Kind, Resources: j.Resources}
 		reserve := message.Reserve{Attempts: []api.AttemptID{id}, Spec: spec, TTLMS: 2000}
 		for _, action := range r.core.Step(r.now, PeerMessage{From: rigPeer, Message: reserve}) {
 			s, ok := action.(Send)
@@ -271,7 +271,7 @@
 	g := api.Grant{Worker: worker, Epoch: 2, Boot: 1, Capacity: rigShape}
 	for i := range tasks {
 		spec := api.TaskSpec{Attempt: api.AttemptID{Job: fmt.Sprintf("%s-%d", worker, i), Number: 1}, Coordinator: rigPeer,
-			Team: "a", Class: "bulk", Kind: api.KindRequest, Resources: api.Resources{CPUMilli: 1000, MemoryMB: 1000, Slots: 1, Connections: 1}}
+			Workspace: "a", Class: "bulk", Kind: api.KindRequest, Resources: api.Resources{CPUMilli: 1000, MemoryMB: 1000, Slots: 1, Connections: 1}}
 		g.Tasks = append(g.Tasks, api.TaskReport{Spec: spec, State: api.TaskRunning})
 	}
 	return g
@@ -300,7 +300,7 @@
 	for _, id := range ids {
 		r.token++
 		one := time.Now()
-		r.step(CallerRequest{Token: r.token, Operation: message.OpCancel, Job: api.Job{ID: id, Team: r.core.jobs.byID[id].spec.Team}})
+		r.step(CallerRequest{Token: r.token, Operation: message.OpCancel, Job: api.Job{ID: id, Workspace: r.core.jobs.byID[id].spec.Workspace}})
 		steps = append(steps, time.Since(one))
 	}
 	measure.Figure(t, fmt.Sprintf("%d waiting requests cancelled", waiting), ms(time.Since(began)), "ms")
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -19,7 +19,7 @@
 	downSince map[api.EntryRef]time.Time
 	// leaving holds the entry VMs that the VM list reports as leaving or gone.
 	leaving map[string]bool
-	// sharedUse is the use by team as the peers were told last.
+	// sharedUse is the use by workspace as the peers were told last.
 	sharedUse map[string]api.Resources
 	usedAt    time.Time // when sharedUse was told
 }
@@ -30,8 +30,8 @@
 	domain  string
 	summary message.Summary
 	// promised is what was asked of the peer since its last summary.
-	promised api.Resources
-	teamUse  map[string]api.Resources
+	promised     api.Resources
+	workspaceUse map[string]api.Resources
 }
 
 func newMembers() members {
@@ -71,7 +71,7 @@
 	c.chooseHolders()
 	c.resendEndedTo(e.Ref)
 	c.announceHeld(e.Ref)
-	c.send(e.Ref, message.TeamUse{Use: maps.Clone(c.members.sharedUse), Full: true})
+	c.send(e.Ref, message.WorkspaceUse{Use: maps.Clone(c.members.sharedUse), Full: true})
 }
 
 func (c *Core) peerDown(ref api.EntryRef) {
@@ -174,42 +174,42 @@
 	return h.Sum64()>>1 | 1
 }
 
-// updateUseElsewhere tells the queue what teams use through other processes.
+// updateUseElsewhere tells the queue what workspaces use through other processes.
 func (c *Core) updateUseElsewhere() {
 	use := make(map[string]api.Resources)
 	for _, p := range c.members.peers {
 		// A peer sends no summary while its own does not change, so what was
 		// asked of it must not stay subtracted.
 		p.promised = api.Resources{}
-		for team, amount := range p.teamUse {
-			use[team] = use[team].Add(amount)
+		for workspace, amount := range p.workspaceUse {
+			use[workspace] = use[workspace].Add(amount)
 		}
 	}
 	c.queue.SetUseElsewhere(use)
 }
 
 const (
-	// teamUseInterval is the pause between two messages about the use by teams.
-	teamUseInterval = 5 * time.Second
-	// teamUseStep is the relative change of a team's use that is worth telling.
-	teamUseStep = 0.1
+	// workspaceUseInterval is the pause between two messages about the use by workspaces.
+	workspaceUseInterval = 5 * time.Second
+	// workspaceUseStep is the relative change of a workspace's use that is worth telling.
+	workspaceUseStep = 0.1
 )
 
-// shareTeamUse tells the peers about teams whose use has changed.
-func (c *Core) shareTeamUse() {
-	if c.now.Sub(c.members.usedAt) < teamUseInterval {
+// shareWorkspaceUse tells the peers about workspaces whose use has changed.
+func (c *Core) shareWorkspaceUse() {
+	if c.now.Sub(c.members.usedAt) < workspaceUseInterval {
 		return
 	}
 	c.members.usedAt = c.now
 	changed := make(map[string]api.Resources)
-	for team, now := range c.attempts.teamUse {
-		if differs(now, c.members.sharedUse[team]) {
-			changed[team] = now
+	for workspace, now := range c.attempts.workspaceUse {
+		if differs(now, c.members.sharedUse[workspace]) {
+			changed[workspace] = now
 		}
 	}
-	for team := range c.members.sharedUse {
-		if _, used := c.attempts.teamUse[team]; !used {
-			changed[team] = api.Resources{}
+	for workspace := range c.members.sharedUse {
+		if _, used := c.attempts.workspaceUse[workspace]; !used {
+			changed[workspace] = api.Resources{}
 		}
 	}
 	if len(changed) == 0 {
@@ -217,36 +217,36 @@
 	}
 	mergeUse(c.members.sharedUse, changed)
 	for _, name := range sortedKeys(c.members.peers) {
-		c.send(c.members.peers[name].ref, message.TeamUse{Use: changed})
+		c.send(c.members.peers[name].ref, message.WorkspaceUse{Use: changed})
 	}
 }
 
-// differs reports whether a use has changed by more than teamUseStep.
+// differs reports whether a use has changed by more than workspaceUseStep.
 func differs(now, before api.Resources) bool {
-	return now.Sub(before).DominantShare(before.Max(now)) > teamUseStep ||
-		before.Sub(now).DominantShare(before.Max(now)) > teamUseStep
+	return now.Sub(before).DominantShare(before.Max(now)) > workspaceUseStep ||
+		before.Sub(now).DominantShare(before.Max(now)) > workspaceUseStep
 }
 
 func mergeUse(into, changed map[string]api.Resources) {
-	for team, use := range changed {
+	for workspace, use := range changed {
 		if use == (api.Resources{}) {
-			delete(into, team)
+			delete(into, workspace)
 			continue
 		}
-		into[team] = use
+		into[workspace] = use
 	}
 }
 
-// peerUse takes a peer's report on the use by teams.
-func (c *Core) peerUse(from api.EntryRef, m message.TeamUse) {
+// peerUse takes a peer's report on the use by workspaces.
+func (c *Core) peerUse(from api.EntryRef, m message.WorkspaceUse) {
 	p := c.members.peers[from.Name]
 	if p == nil || p.ref != from {
 		return
 	}
-	if m.Full || p.teamUse == nil {
-		p.teamUse = make(map[string]api.Resources)
+	if m.Full || p.workspaceUse == nil {
+		p.workspaceUse = make(map[string]api.Resources)
 	}
-	mergeUse(p.teamUse, m.Use)
+	mergeUse(p.workspaceUse, m.Use)
 }
 
 // Summary returns the content of the next heartbeat.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -97,7 +97,7 @@
 func (c *Core) taskSpec(j *job) api.TaskSpec {
 	return api.TaskSpec{
 		Coordinator: c.cfg.Self,
-		Team:        j.spec.Team,
+		Workspace:   j.spec.Workspace,
 		Class:       j.spec.Class,
 		Kind:        j.spec.Kind,
 		Idempotent:  j.spec.Idempotent,
@@ -271,7 +271,7 @@
 	}
 }
 
-// refuseRemoved refuses a task whose class or team left the bundle.
+// refuseRemoved refuses a task whose class or workspace left the bundle.
 func (c *Core) refuseRemoved(it queue.Item) {
-	c.refuseWaiting(it, errClassRemoved(it.Class, it.Team))
+	c.refuseWaiting(it, errClassRemoved(it.Class, it.Workspace))
 }
--- a/internal/core/preempt_test.go
+++ b/internal/core/preempt_test.go
@@ -16,7 +16,7 @@
 	cell := newFakeCell(1, 1)
 	cell.advance(time.Second)
 	half := api.Resources{CPUMilli: 2000, MemoryMB: 4000, Slots: 2}
-	job := api.Job{Class: "bulk", Team: "a", Kind: api.KindRequest, Idempotent: true, Tasks: 1, RunTimeMS: 60_000, Resources: half}
+	job := api.Job{Class: "bulk", Workspace: "a", Kind: api.KindRequest, Idempotent: true, Tasks: 1, RunTimeMS: 60_000, Resources: half}
 	cell.ask("e0", 0, message.OpSubmit, job)
 	cell.ask("e0", 1, message.OpSubmit, job)
 	cell.advance(time.Second)
--- a/internal/core/quota_test.go
+++ b/internal/core/quota_test.go
@@ -11,18 +11,18 @@
 	"github.com/fulmarlatch/fulmarlatch/internal/message"
 )
 
-// TestQuotaAcrossProcesses guards against a team that gets its quota once at each
+// TestQuotaAcrossProcesses guards against a workspace that gets its quota once at each
 // entry process, and against use that peers keep counting after it has ended.
 func TestQuotaAcrossProcesses(t *testing.T) {
 	cell := warmCell(t, 2, 4)
-	cell.bundle.Teams[0].Quota = api.Resources{Slots: 4}
+	cell.bundle.Workspaces[0].Quota = api.Resources{Slots: 4}
 	for _, p := range cell.sorted() {
 		p.inbox = append(p.inbox, BundleChanged{Roll: 2, Bundle: cell.bundle})
 	}
 	for i := range 4 {
 		cell.ask("e0", uint64(i), message.OpSubmit, request(20*time.Second))
 	}
-	cell.advance(2 * teamUseInterval)
+	cell.advance(2 * workspaceUseInterval)
 	cell.ask("e1", 10, message.OpSubmit, request(time.Second))
 	cell.advance(time.Second)
 	refused := cell.answer("e1", 10)
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -149,7 +149,7 @@
 	}
 	f.token++
 	id := rapid.SampledFrom(ids).Draw(f.rt, "cancelled")
-	f.cell.ask(name, f.token, message.OpCancel, api.Job{ID: id, Team: "a"})
+	f.cell.ask(name, f.token, message.OpCancel, api.Job{ID: id, Workspace: "a"})
 }
 
 // heal ends all faults and replaces dead processes.
--- a/internal/core/records.go
+++ b/internal/core/records.go
@@ -36,8 +36,8 @@
 
 // takeKey gives a key to the first job that claims it, and reports whether jobID
 // is that job.
-func (c *Core) takeKey(writer api.EntryRef, team, key, jobID string) bool {
-	ref := keyRef{team, key}
+func (c *Core) takeKey(writer api.EntryRef, workspace, key, jobID string) bool {
+	ref := keyRef{workspace, key}
 	k := c.jobs.keys[ref]
 	if k != nil && k.won {
 		return k.jobID == jobID
@@ -47,7 +47,7 @@
 }
 
 func (c *Core) readClaim(writer api.EntryRef, m record.Claim) {
-	won := c.takeKey(writer, m.Team, m.Key, m.JobID)
+	won := c.takeKey(writer, m.Workspace, m.Key, m.JobID)
 	j := c.jobs.byID[m.JobID]
 	if writer != c.cfg.Self || j == nil || j.phase != phaseLogging {
 		return
@@ -110,7 +110,7 @@
 	if j == nil && !isFirst && c.caughtUp {
 		return // the job is over and forgotten; its replaced coordinator wrote this
 	}
-	if m.Job.Key != "" && !c.takeKey(writer, m.Job.Team, m.Job.Key, m.Job.ID) {
+	if m.Job.Key != "" && !c.takeKey(writer, m.Job.Workspace, m.Job.Key, m.Job.ID) {
 		if j != nil && writer == c.cfg.Self {
 			c.loseKey(j)
 		}
--- a/internal/core/settle.go
+++ b/internal/core/settle.go
@@ -260,8 +260,8 @@
 	return fault.New(fault.TooLate, "no room was found before the deadline", "send the request again, or allow a later deadline")
 }
 
-func errClassRemoved(class, team string) *fault.Error {
-	return fault.New(fault.Invalid, fmt.Sprintf("class %q or team %q left the bundle while the job waited", class, team), "use a class and a team of the bundle in force")
+func errClassRemoved(class, workspace string) *fault.Error {
+	return fault.New(fault.Invalid, fmt.Sprintf("class %q or workspace %q left the bundle while the job waited", class, workspace), "use a class and a workspace of the bundle in force")
 }
 
 func errStartLost() *fault.Error {
--- a/internal/core/stream_measure_test.go
+++ b/internal/core/stream_measure_test.go
@@ -28,7 +28,7 @@
 		name string
 		of   record.Record
 	}{
-		{"claim", record.Record{Claim: &record.Claim{Team: "order-desk", Key: "order-00001234", JobID: id}}},
+		{"claim", record.Record{Claim: &record.Claim{Workspace: "order-desk", Key: "order-00001234", JobID: id}}},
 		{"accept", record.Record{Accept: &record.Accept{Job: job}}},
 		{"start", record.Record{Start: &record.Start{Attempt: attempt, Worker: "worker-00001", Epoch: 12, Boot: 1764831234567}}},
 		{"end, answer of 100 bytes", record.Record{End: &record.End{Attempt: attempt, Outcome: api.OutcomeCompleted, Body: make([]byte, 100)}}},
@@ -55,22 +55,22 @@
 
 func largeBundle() bundle.Bundle {
 	b := floodBundle()
-	b.Teams = nil
+	b.Workspaces = nil
 	for i := range 160 {
-		b.Teams = append(b.Teams, bundle.Team{Name: fmt.Sprintf("team-%03d", i), Weight: 1,
+		b.Workspaces = append(b.Workspaces, bundle.Workspace{Name: fmt.Sprintf("workspace-%03d", i), Weight: 1,
 			Quota: scaled(100_000), TokenHash: fmt.Sprintf("%064x", i)})
 	}
 	return b
 }
 
-// TestMeasureRolls measures changes of one section of a bundle with 160 teams and
+// TestMeasureRolls measures changes of one section of a bundle with 160 workspaces and
 // a drain list of 100 workers.
 func TestMeasureRolls(t *testing.T) {
 	measure.Start(t)
 	public, private, err := ed25519.GenerateKey(nil)
 	assert.NilError(t, err)
 	const changes = 200
-	for _, section := range []string{"classes", "teams", "fleet", "timing"} {
+	for _, section := range []string{"classes", "workspaces", "fleet", "timing"} {
 		writer := bundle.NewChain(bundle.Keys{"alice": public})
 		reader := bundle.NewChain(bundle.Keys{"alice": public})
 		r := newRig()
@@ -117,8 +117,8 @@
 	switch section {
 	case "classes":
 		b.Classes[0].QueueBound = 400 + i
-	case "teams":
-		b.Teams[i%len(b.Teams)].Weight = float64(2 + i)
+	case "workspaces":
+		b.Workspaces[i%len(b.Workspaces)].Weight = float64(2 + i)
 	case "fleet":
 		b.Fleet.Drain[i%len(b.Fleet.Drain)] = fmt.Sprintf("worker-%05d", 30_000+i)
 	case "timing":
--- a/internal/core/submit.go
+++ b/internal/core/submit.go
@@ -139,7 +139,7 @@
 		c.append(record.Record{Accept: &record.Accept{Job: spec}})
 		return
 	}
-	c.append(record.Record{Claim: &record.Claim{Team: spec.Team, Key: spec.Key, JobID: spec.ID}})
+	c.append(record.Record{Claim: &record.Claim{Workspace: spec.Workspace, Key: spec.Key, JobID: spec.ID}})
 }
 
 // offer puts all tasks of a job into the queue, or none.
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -15,12 +15,12 @@
 	Invalid       Kind = "invalid"         // the input is malformed
 	NeverFits     Kind = "never_fits"      // no worker of the cell can hold the task
 	QueueFull     Kind = "queue_full"      // the class's queue is at its bound
-	QuotaExceeded Kind = "quota_exceeded"  // the team's quota is in use
+	QuotaExceeded Kind = "quota_exceeded"  // the workspace's quota is in use
 	TooLate       Kind = "too_late"        // the deadline passed or cannot be met
 	Cancelled     Kind = "cancelled"       // the caller cancelled the job
 	LogDown       Kind = "log_unavailable" // the platform's log does not answer
 	NotReady      Kind = "not_ready"       // the process has no bundle or is stopping
-	Unauthorized  Kind = "unauthorized"    // the token matches no team
+	Unauthorized  Kind = "unauthorized"    // the token matches no workspace
 	NotFound      Kind = "not_found"       // the job is not known
 	Conflict      Kind = "conflict"        // another record or request came first
 	StaleEpoch    Kind = "stale_epoch"     // the lease epoch has been superseded
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -34,7 +34,7 @@
 	checkOneOf(&p, "entry_choice", e.EntryChoice, ChoiceInTurn, ChoiceRandom)
 	checkNumber(&p, "max_outstanding", float64(e.MaxOutstanding), 1, maxOutstanding)
 	checkNumber(&p, "timeout_ms", float64(e.TimeoutMS), 1, maxTimeMS)
-	e.checkTeams(&p)
+	e.checkWorkspaces(&p)
 	if len(e.Works) == 0 {
 		p.Add("works", "is empty", "describe the jobs")
 	}
@@ -52,15 +52,15 @@
 	}
 }
 
-func (e *Experiment) checkTeams(p *strictjson.Problems) {
-	if len(e.Teams) == 0 {
-		p.Add("teams", "is empty", "name a team of the bundle")
+func (e *Experiment) checkWorkspaces(p *strictjson.Problems) {
+	if len(e.Workspaces) == 0 {
+		p.Add("workspaces", "is empty", "name a workspace of the bundle")
 	}
 	seen := map[string]bool{}
-	for i, t := range e.Teams {
-		path := fmt.Sprintf("teams[%d]", i)
+	for i, t := range e.Workspaces {
+		path := fmt.Sprintf("workspaces[%d]", i)
 		if t.Name == "" || seen[t.Name] {
-			p.Add(path+".name", fmt.Sprintf("is %q, which is empty or appears twice", t.Name), "name each team once")
+			p.Add(path+".name", fmt.Sprintf("is %q, which is empty or appears twice", t.Name), "name each workspace once")
 		}
 		seen[t.Name] = true
 		checkNumber(p, path+".weight", t.Weight, 0, maxWeight)
@@ -72,9 +72,9 @@
 	if err := sample.Check(); err != nil {
 		p.Add(path, "describes a job that is refused: "+err.Error(), "correct the field")
 	}
-	for i, name := range w.Teams {
-		if !slices.ContainsFunc(e.Teams, func(t Team) bool { return t.Name == name }) {
-			p.Add(fmt.Sprintf("%s.teams[%d]", path, i), fmt.Sprintf("is %q", name), "name a team of the experiment")
+	for i, name := range w.Workspaces {
+		if !slices.ContainsFunc(e.Workspaces, func(t Workspace) bool { return t.Name == name }) {
+			p.Add(fmt.Sprintf("%s.workspaces[%d]", path, i), fmt.Sprintf("is %q", name), "name a workspace of the experiment")
 		}
 	}
 	checkNumber(p, path+".in_time_ms", float64(w.InTimeMS), 0, maxTimeMS)
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -105,7 +105,7 @@
 	for _, f := range []struct {
 		name string
 		a, b any
-	}{{"teams", a.Teams, b.Teams}, {"works", a.Works, b.Works}, {"phases", a.Phases, b.Phases}, {"floods", a.Floods, b.Floods}} {
+	}{{"workspaces", a.Workspaces, b.Workspaces}, {"works", a.Works, b.Works}, {"phases", a.Phases, b.Phases}, {"floods", a.Floods, b.Floods}} {
 		if !reflect.DeepEqual(f.a, f.b) {
 			list = append(list, f.name)
 		}
--- a/internal/load/exchange.go
+++ b/internal/load/exchange.go
@@ -64,7 +64,7 @@
 }
 
 func (x *exchange) at(entry int, f func(c Caller) api.Answer) api.Answer {
-	return x.runner.pools.with(entry, x.arrival.Team, f)
+	return x.runner.pools.with(entry, x.arrival.Workspace, f)
 }
 
 func (x *exchange) submit(ctx context.Context) api.Answer {
--- a/internal/load/experiment.go
+++ b/internal/load/experiment.go
@@ -29,14 +29,14 @@
 	// CheckAnswers checks that every completed request returns the whole answer
 	// of its own task; the workers must be stand-ins.
 	CheckAnswers bool            `json:"check_answers"`
-	Teams        []Team          `json:"teams"`
+	Workspaces   []Workspace     `json:"workspaces"`
 	Works        map[string]Work `json:"works"`
 	Phases       []Phase         `json:"phases"` // one after the other
 	Floods       []Flood         `json:"floods"`
 }
 
-// Team is a group of callers that sends a share of the load.
-type Team struct {
+// Workspace is a group of callers that sends a share of the load.
+type Workspace struct {
 	Name   string  `json:"name"`
 	Token  string  `json:"token,omitempty"`
 	Weight float64 `json:"weight"`
@@ -50,9 +50,9 @@
 	// Mint asks an entry process for an id before the job is submitted. The
 	// response time includes it.
 	Mint bool `json:"mint"`
-	// Teams restricts the work to some teams; empty means all.
-	Teams []string `json:"teams,omitempty"`
-	Tasks int      `json:"tasks"`
+	// Workspaces restricts the work to some workspaces; empty means all.
+	Workspaces []string `json:"workspaces,omitempty"`
+	Tasks      int      `json:"tasks"`
 	// Resources are what a task really uses.
 	Resources  api.Resources `json:"resources"`
 	DeadlineMS int64         `json:"deadline_ms"`
@@ -161,8 +161,8 @@
 	// Nil lists would be written as null, which LoadResult refuses.
 	e.Phases = append([]Phase{}, e.Phases...)
 	e.Floods = append([]Flood{}, e.Floods...)
-	for i := range e.Teams {
-		setDefault(&e.Teams[i].Weight, 1)
+	for i := range e.Workspaces {
+		setDefault(&e.Workspaces[i].Weight, 1)
 	}
 	for name, w := range e.Works {
 		w.complete()
@@ -206,16 +206,16 @@
 	}
 }
 
-// SetToken sets the token of a team. The error is an Invalid fault if the
-// experiment has no such team.
-func (e *Experiment) SetToken(team, token string) error {
-	for i := range e.Teams {
-		if e.Teams[i].Name == team {
-			e.Teams[i].Token = token
+// SetToken sets the token of a workspace. The error is an Invalid fault if the
+// experiment has no such workspace.
+func (e *Experiment) SetToken(workspace, token string) error {
+	for i := range e.Workspaces {
+		if e.Workspaces[i].Name == workspace {
+			e.Workspaces[i].Token = token
 			return nil
 		}
 	}
-	return fault.New(fault.Invalid, "the experiment has no team "+team, "name a team of the experiment")
+	return fault.New(fault.Invalid, "the experiment has no workspace "+workspace, "name a workspace of the experiment")
 }
 
 // Duration returns the time from the start to the end of the last phase or flood.
@@ -232,11 +232,11 @@
 
 // withoutTokens returns a copy that may be published.
 func (e Experiment) withoutTokens() Experiment {
-	teams := make([]Team, len(e.Teams))
-	for i, t := range e.Teams {
-		teams[i] = Team{Name: t.Name, Weight: t.Weight}
+	workspaces := make([]Workspace, len(e.Workspaces))
+	for i, t := range e.Workspaces {
+		workspaces[i] = Workspace{Name: t.Name, Weight: t.Weight}
 	}
-	e.Teams = teams
+	e.Workspaces = workspaces
 	return e
 }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -22,9 +22,9 @@
 )
 
 const good = `{"name":"n","seed":7,"entries":["http://127.0.0.1:1","http://127.0.0.1:2"],"max_outstanding":5,"check_answers":true,
- "teams":[{"name":"a","token":"secret"},{"name":"b","weight":3}],
+ "workspaces":[{"name":"a","token":"secret"},{"name":"b","weight":3}],
  "works":{"hold":{"class":"urgent","mint":true,"work_ms":{"kind":"constant","value":95},"in_time_ms":150},
-  "plan":{"class":"bulk","teams":["b"],"resources":{"memory_mb":100},"work_ms":{"kind":"lognormal","median":50,"sigma":1,"max":900},
+  "plan":{"class":"bulk","workspaces":["b"],"resources":{"memory_mb":100},"work_ms":{"kind":"lognormal","median":50,"sigma":1,"max":900},
    "answer_bytes":{"kind":"uniform","min":10,"max":20},"declared_factor":{"min":0.5,"max":2}}},
  "phases":[{"name":"even","duration_ms":1000,"rate":100,"arrivals":"constant","mix":[{"work":"hold"}]},
   {"name":"mixed","duration_ms":60000,"rate":50,"mix":[{"work":"hold","weight":3},{"work":"plan"}]}]`
@@ -48,7 +48,7 @@
 }
 
 // TestSchedule guards against arrivals that depend on more than the seed, that
-// change when a flood is added, or that miss the rate, the mix or the teams.
+// change when a flood is added, or that miss the rate, the mix or the workspaces.
 func TestSchedule(t *testing.T) {
 	base := arrivals(parse(t, good+`}`))
 	assert.Assert(t, reflect.DeepEqual(base, arrivals(parse(t, good+`}`))))
@@ -71,7 +71,7 @@
 		works[a.Work]++
 		assert.Assert(t, a.At >= time.Second && a.At < 61*time.Second)
 		if a.Work == "plan" {
-			assert.Equal(t, a.Job.Team, "b")
+			assert.Equal(t, a.Job.Workspace, "b")
 			assert.Assert(t, a.Job.Resources.MemoryMB >= 50 && a.Job.Resources.MemoryMB <= 200)
 			assert.Assert(t, a.Payload.WorkMS <= 900 && a.Payload.AnswerBytes >= 10 && a.Payload.AnswerBytes <= 20)
 		}
@@ -83,7 +83,7 @@
 // upstreams stands for entry processes with ample room.
 type upstreams struct{ wrong, unknown bool }
 
-func (u upstreams) dial(string, Team) (Caller, error)       { return u, nil }
+func (u upstreams) dial(string, Workspace) (Caller, error)  { return u, nil }
 func (upstreams) Close()                                    {}
 func (upstreams) Mint(context.Context) (string, error)      { return "e.1.1", nil }
 func (upstreams) Cancel(context.Context, string) api.Answer { return api.Answer{} }
@@ -221,7 +221,7 @@
 		{`"arrivals":"constant"`, `"arrivals":"even"`, "phases[0].arrivals"},
 		{`"name":"mixed"`, `"name":"even"`, "phases[1].name"},
 		{`"work":"plan"`, `"work":"plans"`, "phases[1].mix[1].work"},
-		{`"teams":["b"]`, `"teams":["c"]`, "works.plan.teams[0]"},
+		{`"workspaces":["b"]`, `"workspaces":["c"]`, "works.plan.workspaces[0]"},
 		{`"class":"bulk",`, ``, "works.plan"},
 		{`"value":95`, `"value":95,"max":5`, "works.hold.work_ms"},
 		{`"kind":"uniform"`, `"kind":"normal"`, "works.plan.answer_bytes.kind"},
@@ -237,7 +237,7 @@
 }
 
 // TestExamples guards against examples that the tool refuses or that name
-// classes and teams which the example bundles lack.
+// classes and workspaces which the example bundles lack.
 func TestExamples(t *testing.T) {
 	for _, name := range []string{"order-desk", "enquiry-desk"} {
 		e, err := Load("../../examples/load/" + name + ".json")
@@ -247,8 +247,8 @@
 		for _, w := range e.Works {
 			assert.Assert(t, bytes.Contains(bundle, []byte(`"name": "`+w.Class+`"`)), w.Class)
 		}
-		for _, team := range e.Teams {
-			assert.Assert(t, bytes.Contains(bundle, []byte(`"name": "`+team.Name+`"`)), team.Name)
+		for _, workspace := range e.Workspaces {
+			assert.Assert(t, bytes.Contains(bundle, []byte(`"name": "`+workspace.Name+`"`)), workspace.Name)
 		}
 	}
 }
--- a/internal/load/pool.go
+++ b/internal/load/pool.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Caller sends the requests of one team to one entry process. *caller.Client
+// Caller sends the requests of one workspace to one entry process. *caller.Client
 // implements it.
 type Caller interface {
 	Mint(ctx context.Context) (string, error)
@@ -20,13 +20,13 @@
 	Close()
 }
 
-// Dial returns a Caller for an entry process and a team.
-type Dial func(entry string, team Team) (Caller, error)
+// Dial returns a Caller for an entry process and a workspace.
+type Dial func(entry string, workspace Workspace) (Caller, error)
 
 // DialHTTP returns a Caller that uses the callers' HTTP API. The error is an
 // Invalid fault if the entry is no URL.
-func DialHTTP(entry string, team Team) (Caller, error) {
-	client, err := caller.NewClient(entry, team.Token, team.Name)
+func DialHTTP(entry string, workspace Workspace) (Caller, error) {
+	client, err := caller.NewClient(entry, workspace.Token, workspace.Name)
 	if err != nil {
 		return nil, err
 	}
@@ -38,12 +38,12 @@
 // refusals of the entry process.
 const callersPerClient = fasthttp.DefaultMaxConnsPerHost
 
-// pool holds the Callers of one team at one entry process and hands each to at
+// pool holds the Callers of one workspace at one entry process and hands each to at
 // most callersPerClient requests at once.
 type pool struct {
-	entry string
-	team  Team
-	dial  Dial
+	entry     string
+	workspace Workspace
+	dial      Dial
 
 	mu    sync.Mutex // guards slots
 	slots []*slot
@@ -63,7 +63,7 @@
 			return s, nil
 		}
 	}
-	c, err := p.dial(p.entry, p.team)
+	c, err := p.dial(p.entry, p.workspace)
 	if err != nil {
 		return nil, err
 	}
@@ -84,26 +84,26 @@
 	}
 }
 
-// pools holds one pool for each entry process and team.
+// pools holds one pool for each entry process and workspace.
 type pools struct {
-	entries int
-	teams   int
-	list    []*pool
+	entries    int
+	workspaces int
+	list       []*pool
 }
 
 func newPools(e *Experiment, dial Dial) *pools {
-	p := &pools{entries: len(e.Entries), teams: len(e.Teams)}
+	p := &pools{entries: len(e.Entries), workspaces: len(e.Workspaces)}
 	for _, entry := range e.Entries {
-		for _, team := range e.Teams {
-			p.list = append(p.list, &pool{entry: entry, team: team, dial: dial})
+		for _, workspace := range e.Workspaces {
+			p.list = append(p.list, &pool{entry: entry, workspace: workspace, dial: dial})
 		}
 	}
 	return p
 }
 
-// with runs f with a Caller of a team at an entry process.
-func (p *pools) with(entry, team int, f func(c Caller) api.Answer) api.Answer {
-	pool := p.list[entry%p.entries*p.teams+team]
+// with runs f with a Caller of a workspace at an entry process.
+func (p *pools) with(entry, workspace int, f func(c Caller) api.Answer) api.Answer {
+	pool := p.list[entry%p.entries*p.workspaces+workspace]
 	s, err := pool.take()
 	if err != nil {
 		return api.Refuse("", err)
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -14,13 +14,13 @@
 
 // Arrival is one job and the time at which it is to be sent.
 type Arrival struct {
-	At      time.Duration // from the start of the experiment
-	Stream  string        // name of the phase or flood
-	Work    string        // name of the work
-	Entry   int           // index in Entries
-	Team    int           // index in Teams
-	Job     api.Job       // without an id
-	Payload standin.Payload
+	At        time.Duration // from the start of the experiment
+	Stream    string        // name of the phase or flood
+	Work      string        // name of the work
+	Entry     int           // index in Entries
+	Workspace int           // index in Workspaces
+	Job       api.Job       // without an id
+	Payload   standin.Payload
 }
 
 // Schedule returns the arrivals of an experiment in the order of their times.
@@ -115,8 +115,8 @@
 	if e.EntryChoice == ChoiceRandom {
 		a.Entry = src.random.IntN(len(e.Entries))
 	}
-	a.Team = pick(src.random, e.Teams, func(t Team) float64 {
-		if len(w.Teams) > 0 && !slices.Contains(w.Teams, t.Name) {
+	a.Workspace = pick(src.random, e.Workspaces, func(t Workspace) float64 {
+		if len(w.Workspaces) > 0 && !slices.Contains(w.Workspaces, t.Name) {
 			return 0
 		}
 		return t.Weight
@@ -128,7 +128,7 @@
 		Echo:        fmt.Sprintf("%d/%s/%d", e.Seed, src.name, src.count),
 	}
 	a.Job = w.job(src.random, a.Payload)
-	a.Job.Team = e.Teams[a.Team].Name
+	a.Job.Workspace = e.Workspaces[a.Workspace].Name
 	return a
 }
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -25,13 +25,13 @@
 	FreeByClass map[string]api.Resources `cbor:"8,keyasint,omitempty"`
 }
 
-// TeamUse tells what each team's tasks coordinated by the sender occupy. It goes
-// apart from the heartbeat, because with many teams it is much longer and is needed
+// WorkspaceUse tells what each workspace's tasks coordinated by the sender occupy. It goes
+// apart from the heartbeat, because with many workspaces it is much longer and is needed
 // for quotas only.
-type TeamUse struct {
-	// Use holds the teams whose use has changed; a zero amount is no use.
+type WorkspaceUse struct {
+	// Use holds the workspaces whose use has changed; a zero amount is no use.
 	Use map[string]api.Resources `cbor:"1,keyasint"`
-	// Full is set for the first message on a link: teams left out have no use.
+	// Full is set for the first message on a link: workspaces left out have no use.
 	Full bool `cbor:"2,keyasint,omitempty"`
 }
 
@@ -190,7 +190,7 @@
 }
 
 func (Summary) isMessage()       {}
-func (TeamUse) isMessage()       {}
+func (WorkspaceUse) isMessage()  {}
 func (Reserve) isMessage()       {}
 func (Reserved) isMessage()      {}
 func (Release) isMessage()       {}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -65,36 +65,36 @@
 	return fault.New(fault.NotReady, "the entry process has stopped", "use another entry process")
 }
 
-// teamTokens holds the token hashes of the bundle in force by team.
-type teamTokens map[string]string
+// workspaceTokens holds the token hashes of the bundle in force by workspace.
+type workspaceTokens map[string]string
 
-func newTeamTokens(teams []bundle.Team) *teamTokens {
-	tokens := make(teamTokens, len(teams))
-	for _, t := range teams {
+func newWorkspaceTokens(workspaces []bundle.Workspace) *workspaceTokens {
+	tokens := make(workspaceTokens, len(workspaces))
+	for _, t := range workspaces {
 		tokens[t.Name] = t.TokenHash
 	}
 	return &tokens
 }
 
-// Authorize checks a team's token against the bundle in force.
-func (b backend) Authorize(token, team string) error {
-	tokens := b.n.teams.Load()
+// Authorize checks a workspace's token against the bundle in force.
+func (b backend) Authorize(token, workspace string) error {
+	tokens := b.n.workspaces.Load()
 	if tokens == nil {
 		return fault.New(fault.NotReady, "no bundle is in force yet", "send the request again, or use another entry process")
 	}
-	want, ok := (*tokens)[team]
+	want, ok := (*tokens)[workspace]
 	if !ok {
-		return fault.New(fault.Unauthorized, fmt.Sprintf("team %q is not in the bundle", team), "use a team of the bundle in force")
+		return fault.New(fault.Unauthorized, fmt.Sprintf("workspace %q is not in the bundle", workspace), "use a workspace of the bundle in force")
 	}
 	if want == "" {
 		return nil
 	}
 	if token == "" {
-		return fault.New(fault.Unauthorized, "the bearer token is missing", "send the header Authorization: Bearer with the team's token")
+		return fault.New(fault.Unauthorized, "the bearer token is missing", "send the header Authorization: Bearer with the workspace's token")
 	}
 	sum := sha256.Sum256([]byte(token))
 	if subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(want)) != 1 {
-		return fault.New(fault.Unauthorized, fmt.Sprintf("the token is not that of team %q", team), "send the team's token as bearer token")
+		return fault.New(fault.Unauthorized, fmt.Sprintf("the token is not that of workspace %q", workspace), "send the workspace's token as bearer token")
 	}
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,9 +52,9 @@
 	done    chan struct{} // closed when the control goroutine must end
 	logLost chan struct{} // has one signal when the log dropped unread records
 
-	tokens    atomic.Uint64
-	teams     atomic.Pointer[teamTokens]
-	readiness atomic.Pointer[operator.Readiness]
+	tokens     atomic.Uint64
+	workspaces atomic.Pointer[workspaceTokens]
+	readiness  atomic.Pointer[operator.Readiness]
 
 	workers   *workerDriver
 	mesh      *peer.Mesh
--- a/internal/node/rolls.go
+++ b/internal/node/rolls.go
@@ -89,7 +89,7 @@
 		zap.Uint64("version", change.Roll.Version), zap.String("signer", change.Roll.Signer),
 		zap.String("source", source))
 	n.rolls.inForce = change.Roll.ID
-	n.teams.Store(newTeamTokens(change.Bundle.Teams))
+	n.workspaces.Store(newWorkspaceTokens(change.Bundle.Workspaces))
 	n.setPeerTiming(change.Bundle.Timing)
 	n.step(core.BundleChanged{Roll: change.Roll.Number, Bundle: change.Bundle})
 	n.publishSummary()
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -35,7 +35,7 @@
 	frameFetchRoll     frameType = 31
 	frameRoll          frameType = 32
 	frameHandOver      frameType = 33
-	frameTeamUse       frameType = 34
+	frameWorkspaceUse  frameType = 34
 )
 
 // protocolVersion changes when processes of two versions cannot talk. New
@@ -136,7 +136,7 @@
 	register[message.FetchRoll](frameFetchRoll)
 	register[message.Roll](frameRoll)
 	register[message.HandOver](frameHandOver)
-	register[message.TeamUse](frameTeamUse)
+	register[message.WorkspaceUse](frameWorkspaceUse)
 }
 
 // encodeMessage returns the frame of m.
--- a/internal/peer/measure_test.go
+++ b/internal/peer/measure_test.go
@@ -17,7 +17,7 @@
 	self := api.EntryRef{Name: "entry-a-1", Incarnation: 1764831234567}
 	id := api.AttemptID{Job: api.NewJobID(self, 123456), Number: 1}
 	need := api.Resources{CPUMilli: 2000, MemoryMB: 4000, Slots: 1, Connections: 1}
-	spec := api.TaskSpec{Coordinator: self, Team: "quotes-west", Class: "urgent", Kind: api.KindRequest, Idempotent: true, Resources: need, RunTimeMS: 2000}
+	spec := api.TaskSpec{Coordinator: self, Workspace: "quotes-west", Class: "urgent", Kind: api.KindRequest, Idempotent: true, Resources: need, RunTimeMS: 2000}
 	place := message.Place{Attempt: id, Worker: "worker-00001", Epoch: 12, Boot: 1764831234567}
 	ended := api.TaskReport{Spec: spec, State: api.TaskEnded, Outcome: api.OutcomeCompleted, Length: 100, Checksum: 1 << 60, Body: make([]byte, 100)}
 	ended.Spec.Attempt = id
@@ -44,13 +44,13 @@
 	frame, err := encodeMessage(s)
 	assert.NilError(t, err)
 	measure.Figure(t, "summary with 6 classes", float64(len(frame)), "bytes")
-	for _, teams := range []int{1, 40, 160} {
-		use := message.TeamUse{Use: map[string]api.Resources{}}
-		for i := range teams {
-			use.Use[fmt.Sprintf("team-%03d", i)] = need.Scale(int64(10 + i))
+	for _, workspaces := range []int{1, 40, 160} {
+		use := message.WorkspaceUse{Use: map[string]api.Resources{}}
+		for i := range workspaces {
+			use.Use[fmt.Sprintf("workspace-%03d", i)] = need.Scale(int64(10 + i))
 		}
 		frame, err := encodeMessage(use)
 		assert.NilError(t, err)
-		measure.Figure(t, fmt.Sprintf("use by %d teams", teams), float64(len(frame)), "bytes")
+		measure.Figure(t, fmt.Sprintf("use by %d workspaces", workspaces), float64(len(frame)), "bytes")
 	}
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -168,7 +168,7 @@
 	}
 	if len(frame) > maxSummaryBytes {
 		return fault.New(fault.Invalid, fmt.Sprintf("summary has %d bytes", len(frame)),
-			fmt.Sprintf("use fewer classes and teams, the limit is %d bytes", maxSummaryBytes))
+			fmt.Sprintf("use fewer classes and workspaces, the limit is %d bytes", maxSummaryBytes))
 	}
 	m.summaryMu.Lock()
 	defer m.summaryMu.Unlock()
--- a/internal/placement/helpers_test.go
+++ b/internal/placement/helpers_test.go
@@ -24,7 +24,7 @@
 }
 
 func request(id int, class string, r api.Resources) Request {
-	spec := api.TaskSpec{Attempt: api.AttemptID{Job: fmt.Sprint("j", id)}, Team: "t", Class: class, Kind: api.KindBatch, Idempotent: true, Resources: r}
+	spec := api.TaskSpec{Attempt: api.AttemptID{Job: fmt.Sprint("j", id)}, Workspace: "t", Class: class, Kind: api.KindBatch, Idempotent: true, Resources: r}
 	return Request{Spec: spec, Rank: 1}
 }
 
--- a/internal/placement/packing_test.go
+++ b/internal/placement/packing_test.go
@@ -23,7 +23,7 @@
 var mixes = []mix{{"cpubound", 0.75}, {"balanced", 1}}
 
 // packingRun fills workers from a backlog of mixed sizes, lets a fifth of the
-// tasks end and refills, several times. The declared sizes of each team are off
+// tasks end and refills, several times. The declared sizes of each workspace are off
 // by a factor of its own between 0.3 and 3.
 type packingRun struct {
 	pool    *Pool
@@ -31,21 +31,21 @@
 	choose  chooser
 	shape   api.Resources
 	mix     mix
-	factors []float64 // used/declared by team
+	factors []float64 // used/declared by workspace
 	next    int
 }
 
 const (
-	packingWorkers = 50
-	packingTeams   = 12
-	packingBacklog = 1000 // tasks offered in a round, several times what is free
-	packingRounds  = 20
-	packingWarmUp  = 5 // rounds that are not measured, while sizes are learned
+	packingWorkers    = 50
+	packingWorkspaces = 12
+	packingBacklog    = 1000 // tasks offered in a round, several times what is free
+	packingRounds     = 20
+	packingWarmUp     = 5 // rounds that are not measured, while sizes are learned
 )
 
 func newPackingRun(shape api.Resources, m mix, choose chooser, seed uint64) *packingRun {
 	r := &packingRun{pool: newPool(packingWorkers, shape), rng: rand.New(rand.NewPCG(seed, 1)), choose: choose, shape: shape, mix: m}
-	for range packingTeams {
+	for range packingWorkspaces {
 		r.factors = append(r.factors, 0.3*math.Exp(r.rng.Float64()*math.Log(10)))
 	}
 	return r
@@ -53,13 +53,13 @@
 
 // offer tries to place the next task of the backlog and reports its use.
 func (r *packingRun) offer() {
-	team := r.rng.IntN(packingTeams)
+	workspace := r.rng.IntN(packingWorkspaces)
 	used := mixedSize(r.rng, r.shape)
 	used.MemoryMB = int64(float64(used.MemoryMB) * r.mix.memory)
-	declared := smaller(share(used, 1/r.factors[team]), r.shape)
+	declared := smaller(share(used, 1/r.factors[workspace]), r.shape)
 	declared.Slots = 1
 	request := request(r.next, "c", declared)
-	request.Spec.Team = fmt.Sprint(team)
+	request.Spec.Workspace = fmt.Sprint(workspace)
 	r.next++
 	q := r.pool.newQuery(request, start.Add(1))
 	if w := r.choose(r.pool, q); w != nil {
--- a/internal/placement/probation.go
+++ b/internal/placement/probation.go
@@ -68,16 +68,16 @@
 	ok     bool
 }
 
-// RecordOutcome notes whether a task of the team and class succeeded on the
+// RecordOutcome notes whether a task of the workspace and class succeeded on the
 // worker. Failures count against the worker only as far as its peers do better
 // with the same kind of work.
-func (p *Pool) RecordOutcome(now time.Time, worker, class, team string, ok bool) {
+func (p *Pool) RecordOutcome(now time.Time, worker, class, workspace string, ok bool) {
 	p.advance(now)
 	w, held := p.workers[worker]
 	if !held {
 		return
 	}
-	k := p.kindOf(team, class)
+	k := p.kindOf(workspace, class)
 	if w.health.probation {
 		p.judgeTrial(w, k, ok)
 		return
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -113,7 +113,7 @@
 func (p *Pool) newQuery(r Request, expires time.Time) *query {
 	return &query{
 		request: r,
-		kind:    p.kindOf(r.Spec.Team, r.Spec.Class),
+		kind:    p.kindOf(r.Spec.Workspace, r.Spec.Class),
 		class:   p.classes.get(r.Spec.Class),
 		expires: expires,
 	}
--- a/internal/placement/summary.go
+++ b/internal/placement/summary.go
@@ -56,12 +56,12 @@
 
 // TaskState is a reservation or running attempt in the dump.
 type TaskState struct {
-	Attempt api.AttemptID `json:"attempt"`
-	Class   string        `json:"class"`
-	Team    string        `json:"team"`
-	Charge  api.Resources `json:"charge"`
-	Running bool          `json:"running"`
-	Expires time.Time     `json:"expires,omitzero"` // of a reservation
+	Attempt   api.AttemptID `json:"attempt"`
+	Class     string        `json:"class"`
+	Workspace string        `json:"workspace"`
+	Charge    api.Resources `json:"charge"`
+	Running   bool          `json:"running"`
+	Expires   time.Time     `json:"expires,omitzero"` // of a reservation
 }
 
 // Dump returns the state of all held workers, sorted by name.
@@ -90,7 +90,7 @@
 }
 
 func (t *task) state() TaskState {
-	s := TaskState{Attempt: t.spec.Attempt, Class: t.spec.Class, Team: t.spec.Team, Charge: t.charge, Running: t.running}
+	s := TaskState{Attempt: t.spec.Attempt, Class: t.spec.Class, Workspace: t.spec.Workspace, Charge: t.charge, Running: t.running}
 	if !t.running {
 		s.Expires = t.expires
 	}
--- a/internal/placement/task.go
+++ b/internal/placement/task.go
@@ -50,7 +50,7 @@
 		}
 		p.drop(t)
 	}
-	k := p.kindOf(spec.Team, spec.Class)
+	k := p.kindOf(spec.Workspace, spec.Class)
 	t := p.book(w, spec, k, k.charge(spec.Resources, w.Capacity))
 	p.run(t)
 }
--- a/internal/placement/usage.go
+++ b/internal/placement/usage.go
@@ -29,10 +29,10 @@
 type ratios [api.NumDimensions]float64
 
 // kindKey names a kind of work.
-type kindKey struct{ team, class string }
+type kindKey struct{ workspace, class string }
 
-// kind is what is known about the work of a team in a class. The number of
-// kinds is bounded by the teams and classes of the bundles seen so far.
+// kind is what is known about the work of a workspace in a class. The number of
+// kinds is bounded by the workspaces and classes of the bundles seen so far.
 type kind struct {
 	learned   ratios
 	outcomes  []outcome // recent, of workers that are not on probation
@@ -40,8 +40,8 @@
 	condemned map[*worker]struct{}
 }
 
-func (p *Pool) kindOf(team, class string) *kind {
-	key := kindKey{team: team, class: class}
+func (p *Pool) kindOf(workspace, class string) *kind {
+	key := kindKey{workspace: workspace, class: class}
 	k, ok := p.kinds[key]
 	if !ok {
 		k = &kind{condemned: make(map[*worker]struct{})}
--- a/internal/queue/admission.go
+++ b/internal/queue/admission.go
@@ -18,10 +18,10 @@
 )
 
 // Offer admits an item to the queue. A refusal is a *fault.Error and takes
-// O(1): Invalid for an unknown class or team, a kind that the class does not
+// O(1): Invalid for an unknown class or workspace, a kind that the class does not
 // take, or bad amounts; Conflict for a key that is waiting or handed out;
-// QueueFull at the class's bound, unless the team has less than its share of the
-// bound waiting; QuotaExceeded if the team's quota can never hold the item, or is
+// QueueFull at the class's bound, unless the workspace has less than its share of the
+// bound waiting; QuotaExceeded if the workspace's quota can never hold the item, or is
 // in use and the item is a request; TooLate if the item cannot start by its
 // deadline. RetryAfterMS is 0 where a retry is pointless. A request without a
 // deadline takes the class's.
@@ -52,13 +52,13 @@
 }
 
 func (q *Queue) admit(c *class, e *entry) *fault.Error {
-	t := q.teams[e.item.Team]
+	t := q.workspaces[e.item.Workspace]
 	if err := q.checkItem(c, t, &e.item); err != nil {
 		return err
 	}
 	if d, over := t.exceeds(e.need); over {
 		return fault.New(fault.QuotaExceeded,
-			fmt.Sprintf("the item needs %d %s and the quota of team %s is %d", e.need.Get(d), d, t.policy.Name, t.policy.Quota.Get(d)),
+			fmt.Sprintf("the item needs %d %s and the quota of workspace %s is %d", e.need.Get(d), d, t.policy.Name, t.policy.Quota.Get(d)),
 			"ask for less or have the quota raised")
 	}
 	if c.waiting >= c.policy.QueueBound && !c.isBelowShare(c.flow(t)) {
@@ -72,13 +72,13 @@
 	return q.checkDeadline(c, t, e)
 }
 
-func (q *Queue) checkItem(c *class, t *team, it *Item) *fault.Error {
+func (q *Queue) checkItem(c *class, t *workspace, it *Item) *fault.Error {
 	kinds := c.policy.Kinds
 	switch {
 	case len(kinds) > 0 && !slices.Contains(kinds, it.Kind):
 		return fault.New(fault.Invalid, fmt.Sprintf("class %s does not take kind %q", c.policy.Name, it.Kind), "name a class that takes the kind")
 	case t == nil || !t.live:
-		return fault.New(fault.Invalid, fmt.Sprintf("team %q is not in the bundle in force", it.Team), "name a team of the bundle")
+		return fault.New(fault.Invalid, fmt.Sprintf("workspace %q is not in the bundle in force", it.Workspace), "name a workspace of the bundle")
 	case it.Tasks < 1:
 		return fault.New(fault.Invalid, fmt.Sprintf("the item has %d tasks", it.Tasks), "use 1 or more")
 	case q.waiting[it.Key] != nil || q.handedOut[it.Key] != nil:
@@ -90,18 +90,18 @@
 	return nil
 }
 
-func (q *Queue) quotaInUse(c *class, t *team, e *entry) *fault.Error {
+func (q *Queue) quotaInUse(c *class, t *workspace, e *entry) *fault.Error {
 	use := t.use.Add(t.elsewhere)
 	d, _ := t.exceeds(use.Add(e.need))
 	err := fault.New(fault.QuotaExceeded,
-		fmt.Sprintf("team %s uses %d %s of its quota of %d and the item needs %d", t.policy.Name, use.Get(d), d, t.policy.Quota.Get(d), e.need.Get(d)),
+		fmt.Sprintf("workspace %s uses %d %s of its quota of %d and the item needs %d", t.policy.Name, use.Get(d), d, t.policy.Quota.Get(d), e.need.Get(d)),
 		"retry after the advised pause, or use a kind that waits")
 	err.RetryAfterMS = q.jitter(c.averageRunTime())
 	return err
 }
 
 // checkDeadline refuses an item early that would only expire in the queue.
-func (q *Queue) checkDeadline(c *class, t *team, e *entry) *fault.Error {
+func (q *Queue) checkDeadline(c *class, t *workspace, e *entry) *fault.Error {
 	deadline := e.item.Deadline
 	if deadline.IsZero() {
 		return nil
--- a/internal/queue/bench_test.go
+++ b/internal/queue/bench_test.go
@@ -9,7 +9,7 @@
 	"github.com/fulmarlatch/fulmarlatch/internal/bundle"
 )
 
-// benchQueue has 5 classes, 160 teams and the given number of waiting items.
+// benchQueue has 5 classes, 160 workspaces and the given number of waiting items.
 func benchQueue(waiting int) (*Queue, func(now time.Time) Item) {
 	q := New(1)
 	q.SetCapacity(api.Resources{CPUMilli: 832_000_000, MemoryMB: 1 << 30, Slots: 104_000, Connections: 780_000})
@@ -19,13 +19,13 @@
 	}
 	names := make([]string, 160)
 	for i := range names {
-		names[i] = fmt.Sprint("team", i)
+		names[i] = fmt.Sprint("workspace", i)
 	}
-	q.SetPolicy(classes, teamsOf(names...))
+	q.SetPolicy(classes, workspacesOf(names...))
 	number := 0
 	item := func(now time.Time) Item {
 		number++
-		return Item{Key: Key{fmt.Sprint(number), 0}, Team: names[number*7%160], Class: classes[number%5].Name,
+		return Item{Key: Key{fmt.Sprint(number), 0}, Workspace: names[number*7%160], Class: classes[number%5].Name,
 			Kind: api.KindRequest, Tasks: 1, Submitted: now, Deadline: now.Add(time.Hour),
 			Resources: api.Resources{CPUMilli: 500 << (number % 6), MemoryMB: 512 << (number % 5), Slots: 1, Connections: 1}}
 	}
--- a/internal/queue/class.go
+++ b/internal/queue/class.go
@@ -26,15 +26,15 @@
 // oldest returns the waiting entry that was postponed first, or nil.
 func (c *class) oldest() *entry { return c.postponed.peek() }
 
-// team is the policy and use of one team across classes.
-type team struct {
-	policy    bundle.Team
+// workspace is the policy and use of one workspace across classes.
+type workspace struct {
+	policy    bundle.Workspace
 	live      bool          // in the bundle in force
 	use       api.Resources // of items handed out by this process
 	elsewhere api.Resources // coordinated by peers
 }
 
-func (t *team) weight() float64 {
+func (t *workspace) weight() float64 {
 	if t.policy.Weight > 0 {
 		return t.policy.Weight
 	}
@@ -42,7 +42,7 @@
 }
 
 // exceeds returns the first dimension in which use would be over the quota.
-func (t *team) exceeds(use api.Resources) (api.Dimension, bool) {
+func (t *workspace) exceeds(use api.Resources) (api.Dimension, bool) {
 	for d := api.CPU; d < api.NumDimensions; d++ {
 		if quota := t.policy.Quota.Get(d); quota > 0 && use.Get(d) > quota {
 			return d, true
@@ -52,7 +52,7 @@
 }
 
 // inQuota reports whether need fits into the quota besides present use.
-func (t *team) inQuota(need api.Resources) bool {
+func (t *workspace) inQuota(need api.Resources) bool {
 	if t.policy.Quota == (api.Resources{}) {
 		return true
 	}
@@ -67,10 +67,10 @@
 	waiting int
 }
 
-// flow is the waiting work of one team in one class.
+// flow is the waiting work of one workspace in one class.
 type flow struct {
 	class       *class
-	team        *team
+	workspace   *workspace
 	shapes      shapeSet
 	buckets     []*bucket // one for each bit of shapes
 	waiting     int
@@ -151,10 +151,10 @@
 
 func (c *class) refuse(kind fault.Kind) { c.refused[kind]++ }
 
-func (c *class) flow(t *team) *flow {
+func (c *class) flow(t *workspace) *flow {
 	f := c.flows[t.policy.Name]
 	if f == nil {
-		f = &flow{class: c, team: t}
+		f = &flow{class: c, workspace: t}
 		c.flows[t.policy.Name] = f
 	}
 	return f
@@ -168,7 +168,7 @@
 		f.virtualTime = max(f.virtualTime, c.virtualTime)
 		f.position = len(c.active)
 		c.active = append(c.active, f)
-		c.activeWeight += f.team.weight()
+		c.activeWeight += f.workspace.weight()
 	}
 	b := f.bucket(e.shape)
 	b.entries.add(e)
@@ -218,7 +218,7 @@
 	moved.position = f.position
 	c.active[last] = nil
 	c.active = c.active[:last]
-	c.activeWeight -= f.team.weight()
+	c.activeWeight -= f.workspace.weight()
 	if last == 0 {
 		c.activeWeight = 0 // sheds rounding errors
 	}
@@ -227,15 +227,15 @@
 // allowed returns the waiting shapes that have room and are not held.
 func (c *class) allowed(held shapeSet) shapeSet { return c.shapes &^ c.blocked &^ held }
 
-// next returns the entry to serve by fair share among teams: the flow with the
-// least virtual time whose team is in its quota, and its first entry.
+// next returns the entry to serve by fair share among workspaces: the flow with the
+// least virtual time whose workspace is in its quota, and its first entry.
 func (c *class) next(shapes shapeSet) (best *entry) {
 	for _, f := range c.active {
 		if f.shapes&shapes == 0 || (best != nil && f.virtualTime > best.flow.virtualTime) {
 			continue
 		}
 		e := f.first(shapes)
-		if e == nil || !f.team.inQuota(e.need) {
+		if e == nil || !f.workspace.inQuota(e.need) {
 			continue
 		}
 		if best == nil || f.virtualTime < best.flow.virtualTime || bySubmission(e, best) {
@@ -245,12 +245,12 @@
 	return best
 }
 
-// isBelowShare reports whether one more item keeps the team within its part, by
-// weight among the teams that wait, of the class's bound. Such items are admitted
-// beyond the bound, so that one team's flood does not shut out the others. The
+// isBelowShare reports whether one more item keeps the workspace within its part, by
+// weight among the workspaces that wait, of the class's bound. Such items are admitted
+// beyond the bound, so that one workspace's flood does not shut out the others. The
 // parts add up to the bound, so at most twice the bound waits.
 func (c *class) isBelowShare(f *flow) bool {
-	weight, total := f.team.weight(), c.activeWeight
+	weight, total := f.workspace.weight(), c.activeWeight
 	if f.waiting == 0 {
 		total += weight
 	}
@@ -259,9 +259,9 @@
 
 // ahead estimates how many waiting items start before a new one of flow f.
 // Fair share bounds it by the flow's own backlog, so that the flood of one
-// team does not cause refusals for the others.
+// workspace does not cause refusals for the others.
 func (c *class) ahead(f *flow) float64 {
-	weight, total := f.team.weight(), c.activeWeight
+	weight, total := f.workspace.weight(), c.activeWeight
 	if f.waiting == 0 {
 		total += weight
 	}
--- a/internal/queue/drain.go
+++ b/internal/queue/drain.go
@@ -20,7 +20,7 @@
 )
 
 // drainRate measures starts per second of busy time, which is time with work
-// waiting that its team's quota lets start. Idle time is left out: in it the
+// waiting that its workspace's quota lets start. Idle time is left out: in it the
 // rate only mirrors the arrivals.
 type drainRate struct {
 	starts  float64 // exponentially weighted
--- a/internal/queue/flood_test.go
+++ b/internal/queue/flood_test.go
@@ -24,7 +24,7 @@
 }
 
 // floodSources offers half of the capacity, spread evenly over the classes,
-// and on top the flood of one class by one team up to the given load.
+// and on top the flood of one class by one workspace up to the given load.
 func floodSources(flood string, load float64) []source {
 	list := []source{
 		{class: "urgent", size: 1, run: 200 * time.Millisecond, deadline: 4 * time.Second},
@@ -33,11 +33,11 @@
 		{class: "sweep", size: 2, run: 5 * time.Second, deadline: time.Minute},
 	}
 	for i := range list {
-		list[i].load, list[i].team, list[i].teams = floodSlots*0.125, "team", 10
+		list[i].load, list[i].workspace, list[i].workspaces = floodSlots*0.125, "workspace", 10
 	}
 	for _, src := range list {
 		if src.class == flood && load > 0.5 {
-			src.load, src.team, src.teams = floodSlots*(load-0.5), flooder, 0
+			src.load, src.workspace, src.workspaces = floodSlots*(load-0.5), flooder, 0
 			list = append(list, src)
 		}
 	}
@@ -47,7 +47,7 @@
 func floodQueue() *Queue {
 	names := []string{flooder}
 	for i := range 10 {
-		names = append(names, fmt.Sprint("team", i))
+		names = append(names, fmt.Sprint("workspace", i))
 	}
 	return policy(floodSlots, floodClasses, names...)
 }
@@ -75,7 +75,7 @@
 }
 
 // TestFlood guards against a flood of one class that takes goodput from the
-// others and from other teams, delays urgent work, or lowers the goodput of the whole. The baseline
+// others and from other workspaces, delays urgent work, or lowers the goodput of the whole. The baseline
 // is logged for comparison.
 func TestFlood(t *testing.T) {
 	calm := runFlood(floodQueue(), "", 0.5)
@@ -86,7 +86,7 @@
 			s := runFlood(floodQueue(), flood, load)
 			s.log(t, fmt.Sprintf("queue %.0f%% %s", 100*load, flood), calm)
 			runFlood(&fifo{Queue: New(1), bound: 20000}, flood, load).log(t, fmt.Sprintf("FIFO %.0f%% %s", 100*load, flood), calm)
-			for _, c := range floodClasses { // also the other teams of the flooded class
+			for _, c := range floodClasses { // also the other workspaces of the flooded class
 				assert.Assert(t, s.goodput[c.Name] >= 0.95*calm.goodput[c.Name], "%s under %s at %v", c.Name, flood, load)
 			}
 			assert.Assert(t, s.waits["urgent"].ValueAtQuantile(99.9) <= 4300)
--- a/internal/queue/model_test.go
+++ b/internal/queue/model_test.go
@@ -70,18 +70,18 @@
 
 // source is a Poisson stream of items of one class.
 type source struct {
-	class, team string
-	size        int64 // slots
-	run         time.Duration
-	deadline    time.Duration // 0 makes the items a batch
-	load        float64       // offered slot-seconds per second
-	teams       int           // items are spread over so many teams; 0 is one
+	class, workspace string
+	size             int64 // slots
+	run              time.Duration
+	deadline         time.Duration // 0 makes the items a batch
+	load             float64       // offered slot-seconds per second
+	workspaces       int           // items are spread over so many workspaces; 0 is one
 }
 
-const flooder = "flooder" // team whose figures are kept apart
+const flooder = "flooder" // workspace whose figures are kept apart
 
-func label(class, team string) string {
-	if team == flooder {
+func label(class, workspace string) string {
+	if workspace == flooder {
 		return flooder
 	}
 	return class
@@ -113,7 +113,7 @@
 		goodput: map[string]float64{}, waits: map[string]*hdrhistogram.Histogram{}}
 	for i, src := range sources {
 		s.random = append(s.random, rand.New(rand.NewPCG(1, uint64(i))))
-		s.waits[label(src.class, src.team)] = hdrhistogram.New(1, 600_000, 3)
+		s.waits[label(src.class, src.workspace)] = hdrhistogram.New(1, 600_000, 3)
 		s.scheduleArrival(i)
 	}
 	return s
@@ -139,10 +139,10 @@
 func (s *server) arrive(i int) {
 	src := s.sources[i]
 	s.number++
-	it := Item{Key: Key{strconv.Itoa(s.number), 0}, Team: src.team, Class: src.class, Kind: api.KindBatch,
+	it := Item{Key: Key{strconv.Itoa(s.number), 0}, Workspace: src.workspace, Class: src.class, Kind: api.KindBatch,
 		Resources: slots(src.size), Tasks: 1, Submitted: s.now, RunTime: src.run}
-	if src.teams > 0 {
-		it.Team += strconv.Itoa(s.random[i].IntN(src.teams))
+	if src.workspaces > 0 {
+		it.Workspace += strconv.Itoa(s.random[i].IntN(src.workspaces))
 	}
 	if src.deadline > 0 {
 		it.Kind, it.Deadline = api.KindRequest, s.now.Add(src.deadline)
@@ -160,7 +160,7 @@
 			s.arrive(e.source)
 		} else {
 			s.free += e.item.Resources.Slots
-			s.goodput[label(e.item.Class, e.item.Team)] += float64(e.item.Resources.Slots) * e.item.RunTime.Seconds()
+			s.goodput[label(e.item.Class, e.item.Workspace)] += float64(e.item.Resources.Slots) * e.item.RunTime.Seconds()
 			s.queue.Finished(s.now, e.item, e.item.RunTime)
 			s.queue.RoomFreed(s.now)
 		}
@@ -178,24 +178,24 @@
 		s.free -= it.Resources.Slots
 		s.queue.Started(s.now, it)
 		s.push(event{at: s.now.Add(it.RunTime), source: -1, item: it})
-		if h := s.waits[label(it.Class, it.Team)]; h != nil {
+		if h := s.waits[label(it.Class, it.Workspace)]; h != nil {
 			_ = h.RecordValue(s.now.Sub(it.Submitted).Milliseconds())
 		}
 		s.onStart(it)
 	}
 }
 
-// policy returns a queue with the given classes, and teams of equal weight.
-func policy(capacity int64, classes []bundle.Class, teams ...string) *Queue {
+// policy returns a queue with the given classes, and workspaces of equal weight.
+func policy(capacity int64, classes []bundle.Class, workspaces ...string) *Queue {
 	q := New(1)
 	q.SetCapacity(slots(capacity))
-	q.SetPolicy(classes, teamsOf(teams...))
+	q.SetPolicy(classes, workspacesOf(workspaces...))
 	return q
 }
 
-func teamsOf(names ...string) (teams []bundle.Team) {
+func workspacesOf(names ...string) (workspaces []bundle.Workspace) {
 	for _, name := range names {
-		teams = append(teams, bundle.Team{Name: name, Weight: 1})
+		workspaces = append(workspaces, bundle.Workspace{Name: name, Weight: 1})
 	}
-	return teams
+	return workspaces
 }
--- a/internal/queue/next.go
+++ b/internal/queue/next.go
@@ -11,8 +11,8 @@
 
 // Next removes and returns the item to place next, or false if none may start.
 // Classes below their floor come first, by rank, then all others by rank.
-// Within a class, teams share by weight, and a team's items go by submission.
-// The item counts as use of its class and team until Finished, Requeue,
+// Within a class, workspaces share by weight, and a workspace's items go by submission.
+// The item counts as use of its class and workspace until Finished, Requeue,
 // Postpone or Cancel. Items past their deadline are left to Expire.
 func (q *Queue) Next(now time.Time) (Item, bool) {
 	q.observe(now)
@@ -101,7 +101,7 @@
 // mayStart reports whether quota and ceiling let e start.
 func (q *Queue) mayStart(c *class, e *entry) bool {
 	fits := q.cell == (api.Resources{}) || e.need.Fits(q.cell)
-	return fits && e.flow.team.inQuota(e.need) && q.inCeiling(c, e)
+	return fits && e.flow.workspace.inQuota(e.need) && q.inCeiling(c, e)
 }
 
 // held returns the shapes that the i-th class must not start, because an entry
--- a/internal/queue/policy.go
+++ b/internal/queue/policy.go
@@ -16,19 +16,19 @@
 	minBaseFraction = 16
 	// rescaleFactor is the change of capacity at which virtual times start
 	// anew. Charges made against a much smaller cell would otherwise hold a
-	// team back for very long.
+	// workspace back for very long.
 	rescaleFactor = 2
 )
 
-func (q *Queue) setTeams(teams []bundle.Team) {
-	for _, t := range q.teams {
+func (q *Queue) setWorkspaces(workspaces []bundle.Workspace) {
+	for _, t := range q.workspaces {
 		t.live = false
 	}
-	for _, policy := range teams {
-		t := q.teams[policy.Name]
+	for _, policy := range workspaces {
+		t := q.workspaces[policy.Name]
 		if t == nil {
-			t = &team{elsewhere: q.teamsElsewhere[policy.Name]}
-			q.teams[policy.Name] = t
+			t = &workspace{elsewhere: q.workspacesElsewhere[policy.Name]}
+			q.workspaces[policy.Name] = t
 		}
 		t.policy, t.live = policy, true
 	}
@@ -49,22 +49,22 @@
 	}
 }
 
-// reweigh adds the weights of the active teams up again.
+// reweigh adds the weights of the active workspaces up again.
 func (c *class) reweigh() {
 	c.activeWeight = 0
 	for _, f := range c.active {
-		c.activeWeight += f.team.weight()
+		c.activeWeight += f.workspace.weight()
 	}
 }
 
-// removeVanished drops classes and teams that are not in force, and returns
+// removeVanished drops classes and workspaces that are not in force, and returns
 // their waiting items. One that still has work handed out is kept to account
 // for its use.
 func (q *Queue) removeVanished() []Item {
 	var gone []*entry
 	for _, c := range q.classes {
 		for _, f := range c.active {
-			if !c.live || !f.team.live {
+			if !c.live || !f.workspace.live {
 				gone = f.appendWaiting(gone)
 			}
 		}
@@ -93,7 +93,7 @@
 }
 
 func (q *Queue) forgetVanished() {
-	for name, t := range q.teams {
+	for name, t := range q.workspaces {
 		if t.live {
 			continue
 		}
@@ -101,7 +101,7 @@
 			delete(c.flows, name)
 		}
 		if t.use == (api.Resources{}) {
-			delete(q.teams, name)
+			delete(q.workspaces, name)
 		}
 	}
 	for name, c := range q.classes {
@@ -124,7 +124,7 @@
 }
 
 // rebase computes the capacity to which floors and ceilings refer: the cell
-// without what peers use. Peers report their use by team and not by class, so
+// without what peers use. Peers report their use by workspace and not by class, so
 // each process guarantees the shares within what is left to it; processes with
 // equal load then divide the cell equally.
 func (q *Queue) rebase() {
@@ -153,7 +153,7 @@
 	}
 	q.scale = q.cell
 	for _, ch := range q.handedOut {
-		ch.rate = q.chargeRate(ch.need, ch.team)
+		ch.rate = q.chargeRate(ch.need, ch.workspace)
 	}
 	for _, c := range q.classes {
 		c.virtualTime = 0
--- a/internal/queue/property_test.go
+++ b/internal/queue/property_test.go
@@ -51,7 +51,7 @@
 func (m *machine) offer(t *rapid.T) {
 	m.next++
 	it := Item{Key: Key{fmt.Sprint(m.next), 0}, Tasks: rapid.IntRange(1, 3).Draw(t, "tasks"), Submitted: m.now,
-		Team:      rapid.SampledFrom([]string{"x", "y"}).Draw(t, "team"),
+		Workspace: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "workspace"),
 		Class:     rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "class"),
 		Kind:      rapid.SampledFrom([]api.Kind{api.KindRequest, api.KindBatch}).Draw(t, "kind"),
 		Resources: slots(rapid.Int64Range(0, 9).Draw(t, "slots"))}
@@ -66,9 +66,9 @@
 func (m *machine) setPolicy(t *rapid.T) {
 	classes := []bundle.Class{{Name: "a", QueueBound: 50, Floor: 0.2},
 		{Name: "b", Rank: 1, QueueBound: 50, Ceiling: 0.9, Floor: 0.3}, {Name: "c", Rank: 1, QueueBound: 50}}
-	teams := []bundle.Team{{Name: "x", Weight: 1, Quota: slots(25)}, {Name: "y", Weight: 3}}
+	workspaces := []bundle.Workspace{{Name: "x", Weight: 1, Quota: slots(25)}, {Name: "y", Weight: 3}}
 	classes = classes[:rapid.IntRange(1, 3).Draw(t, "classes")]
-	m.left(t, m.q.SetPolicy(classes, teams[:rapid.IntRange(1, 2).Draw(t, "teams")])...)
+	m.left(t, m.q.SetPolicy(classes, workspaces[:rapid.IntRange(1, 2).Draw(t, "workspaces")])...)
 }
 
 func (m *machine) cancel(t *rapid.T) {
@@ -109,20 +109,20 @@
 	}
 }
 
-// check compares the use of classes and teams with the items handed out.
+// check compares the use of classes and workspaces with the items handed out.
 func (m *machine) check(t *rapid.T) {
-	var use, byClass, byTeam api.Resources
+	var use, byClass, byWorkspace api.Resources
 	for _, it := range m.out {
 		use = use.Add(it.need())
 	}
 	for _, c := range m.q.classes {
 		byClass = byClass.Add(c.use)
 	}
-	for _, tm := range m.q.teams {
-		byTeam = byTeam.Add(tm.use)
+	for _, tm := range m.q.workspaces {
+		byWorkspace = byWorkspace.Add(tm.use)
 	}
-	if use != byClass || use != byTeam || use != m.q.use {
-		t.Fatalf("use %v, by class %v, by team %v, total %v", use, byClass, byTeam, m.q.use)
+	if use != byClass || use != byWorkspace || use != m.q.use {
+		t.Fatalf("use %v, by class %v, by workspace %v, total %v", use, byClass, byWorkspace, m.q.use)
 	}
 	if m.q.Len()+len(m.q.overdue) != len(m.waiting) {
 		t.Fatalf("%d items waiting, %d expected", m.q.Len(), len(m.waiting))
@@ -151,7 +151,7 @@
 			load := rapid.SampledFrom([]float64{50, 200}).Draw(t, "load")
 			run := time.Duration(rapid.IntRange(500, 2000).Draw(t, "run")) * time.Millisecond
 			size := rapid.Int64Range(1, 5).Draw(t, "size")
-			sources = append(sources, source{class: c.Name, team: "x", size: size, run: run, load: load})
+			sources = append(sources, source{class: c.Name, workspace: "x", size: size, run: run, load: load})
 		}
 		q := policy(100, classes, "x")
 		s := newServer(q, 100, sources)
@@ -182,8 +182,8 @@
 			{Name: "low", Rank: 2, QueueBound: 1 << 20, Floor: 0.1}}, "x", "y")
 		class := rapid.SampledFrom([]string{"bulk", "low"}).Draw(t, "class")
 		s := newServer(q, 20, []source{
-			{class: "urgent", team: "x", size: 1, run: 200 * time.Millisecond, load: 2},
-			{class: class, team: "x", size: rapid.Int64Range(1, 3).Draw(t, "size"), run: run, load: 60},
+			{class: "urgent", workspace: "x", size: 1, run: 200 * time.Millisecond, load: 2},
+			{class: class, workspace: "x", size: rapid.Int64Range(1, 3).Draw(t, "size"), run: run, load: 60},
 		})
 		started, urgentWait := false, time.Duration(0)
 		s.onStart = func(it Item) {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -21,7 +21,7 @@
 // Item is work that is placed in one step: a task, or all tasks of a gang.
 type Item struct {
 	Key       Key
-	Team      string
+	Workspace string
 	Class     string
 	Kind      api.Kind
 	Resources api.Resources // of each task
@@ -36,38 +36,38 @@
 func (it *Item) need() api.Resources { return it.Resources.Scale(int64(max(it.Tasks, 1))) }
 
 // Queue is the waiting work of one entry process, and the use of classes and
-// teams by the work that it handed out. The control goroutine owns it.
+// workspaces by the work that it handed out. The control goroutine owns it.
 type Queue struct {
-	random         *rand.Rand
-	now            time.Time // latest time seen
-	sequence       uint64
-	classes        map[string]*class
-	order          []*class // live classes by rank, then name
-	teams          map[string]*team
-	waiting        map[Key]*entry
-	handedOut      map[Key]*charge
-	deadlines      entryHeap
-	overdue        []Item // for the next Expire
-	shapes         shapeTable
-	blocks         []block
-	cell           api.Resources // capacity of the cell
-	elsewhere      api.Resources // use coordinated by peers
-	teamsElsewhere map[string]api.Resources
-	use            api.Resources // use by items handed out here
-	base           api.Resources // capacity to which the shares of classes refer
-	scale          api.Resources // capacity to which virtual times refer
-}
-
-// New returns an empty queue without classes or teams. The seed determines the
+	random              *rand.Rand
+	now                 time.Time // latest time seen
+	sequence            uint64
+	classes             map[string]*class
+	order               []*class // live classes by rank, then name
+	workspaces          map[string]*workspace
+	waiting             map[Key]*entry
+	handedOut           map[Key]*charge
+	deadlines           entryHeap
+	overdue             []Item // for the next Expire
+	shapes              shapeTable
+	blocks              []block
+	cell                api.Resources // capacity of the cell
+	elsewhere           api.Resources // use coordinated by peers
+	workspacesElsewhere map[string]api.Resources
+	use                 api.Resources // use by items handed out here
+	base                api.Resources // capacity to which the shares of classes refer
+	scale               api.Resources // capacity to which virtual times refer
+}
+
+// New returns an empty queue without classes or workspaces. The seed determines the
 // jitter of advised retry times.
 func New(seed uint64) *Queue {
 	return &Queue{
-		random:    rand.New(rand.NewPCG(seed, seed)),
-		classes:   map[string]*class{},
-		teams:     map[string]*team{},
-		waiting:   map[Key]*entry{},
-		handedOut: map[Key]*charge{},
-		deadlines: entryHeap{before: byDeadline},
+		random:     rand.New(rand.NewPCG(seed, seed)),
+		classes:    map[string]*class{},
+		workspaces: map[string]*workspace{},
+		waiting:    map[Key]*entry{},
+		handedOut:  map[Key]*charge{},
+		deadlines:  entryHeap{before: byDeadline},
 	}
 }
 
@@ -76,7 +76,7 @@
 
 // Requeue puts an item back without admission. The item keeps its age and its
 // use is given back. It suits a retry and a reservation that timed out; Postpone
-// suits an item for which there is no room. If the item's class or team has
+// suits an item for which there is no room. If the item's class or workspace has
 // vanished, the next Expire returns it. A key that is waiting already is left
 // as it is.
 func (q *Queue) Requeue(now time.Time, it Item) {
@@ -117,7 +117,7 @@
 
 // Expire removes and returns the items whose deadline is not after now, the
 // earliest first, in O(log n) each. It also returns items put back after their
-// class or team had vanished.
+// class or workspace had vanished.
 func (q *Queue) Expire(now time.Time) []Item {
 	q.observe(now)
 	q.collectOverdue()
@@ -150,10 +150,10 @@
 	return &entry{item: it, need: it.need(), sequence: q.sequence}
 }
 
-// insert makes e wait, or leaves it to the next Expire if its class or team is
+// insert makes e wait, or leaves it to the next Expire if its class or workspace is
 // not in force.
 func (q *Queue) insert(e *entry) {
-	c, t := q.classes[e.item.Class], q.teams[e.item.Team]
+	c, t := q.classes[e.item.Class], q.workspaces[e.item.Workspace]
 	if c == nil || t == nil || !c.live || !t.live {
 		q.overdue = append(q.overdue, e.item)
 		return
@@ -194,11 +194,11 @@
 	q.rescale()
 }
 
-// SetUseElsewhere sets the use of each team that peers coordinate.
+// SetUseElsewhere sets the use of each workspace that peers coordinate.
 func (q *Queue) SetUseElsewhere(use map[string]api.Resources) {
 	q.elsewhere = api.Resources{}
-	q.teamsElsewhere = maps.Clone(use)
-	for name, t := range q.teams {
+	q.workspacesElsewhere = maps.Clone(use)
+	for name, t := range q.workspaces {
 		t.elsewhere = use[name]
 	}
 	for _, amount := range use {
@@ -207,11 +207,11 @@
 	q.rebase()
 }
 
-// SetPolicy puts classes and teams in force and returns the waiting items
-// whose class or team has vanished, in the order of arrival. All other items
+// SetPolicy puts classes and workspaces in force and returns the waiting items
+// whose class or workspace has vanished, in the order of arrival. All other items
 // keep waiting, also those that the new policy would not admit.
-func (q *Queue) SetPolicy(classes []bundle.Class, teams []bundle.Team) (removed []Item) {
-	q.setTeams(teams)
+func (q *Queue) SetPolicy(classes []bundle.Class, workspaces []bundle.Workspace) (removed []Item) {
+	q.setWorkspaces(workspaces)
 	q.setClasses(classes)
 	return q.removeVanished()
 }
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -13,12 +13,12 @@
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 )
 
-func task(id, team, class string, size int64) Item {
-	return Item{Key: Key{id, 0}, Team: team, Class: class, Kind: api.KindBatch, Resources: slots(size), Tasks: 1, Submitted: epoch}
+func task(id, workspace, class string, size int64) Item {
+	return Item{Key: Key{id, 0}, Workspace: workspace, Class: class, Kind: api.KindBatch, Resources: slots(size), Tasks: 1, Submitted: epoch}
 }
 
-func request(id, team, class string, size int64) Item {
-	it := task(id, team, class, size)
+func request(id, workspace, class string, size int64) Item {
+	it := task(id, workspace, class, size)
 	it.Kind = api.KindRequest
 	return it
 }
@@ -55,10 +55,10 @@
 		retry bool
 	}{
 		{"unknown class", nil, task("i", "x", "none", 1), fault.Invalid, false},
-		{"unknown team", nil, task("i", "none", "a", 1), fault.Invalid, false},
+		{"unknown workspace", nil, task("i", "none", "a", 1), fault.Invalid, false},
 		{"kind not taken", nil, task("i", "x", "b", 1), fault.Invalid, false},
 		{"negative amount", nil, task("i", "x", "a", -1), fault.Invalid, false},
-		{"no tasks", nil, Item{Team: "x", Class: "a"}, fault.Invalid, false},
+		{"no tasks", nil, Item{Workspace: "x", Class: "a"}, fault.Invalid, false},
 		{"duplicate", nil, task("0", "x", "a", 1), fault.Conflict, false},
 		{"never in quota", nil, task("i", "small", "a", 9), fault.QuotaExceeded, false},
 		{"deadline passed", nil, late, fault.TooLate, false},
@@ -68,7 +68,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			q := policy(10, classes)
-			q.SetPolicy(classes, append(teamsOf("x"), bundle.Team{Name: "small", Weight: 1, Quota: slots(8)}))
+			q.SetPolicy(classes, append(workspacesOf("x"), bundle.Workspace{Name: "small", Weight: 1, Quota: slots(8)}))
 			offer(t, q, task("0", "x", "a", 1))
 			if c.setup != nil {
 				c.setup(q)
@@ -84,16 +84,16 @@
 	}
 }
 
-// TestBoundLeavesRoomForOtherTeams guards against a flood of one team that fills
+// TestBoundLeavesRoomForOtherWorkspaces guards against a flood of one workspace that fills
 // the class and shuts out the others, and against a queue that grows past twice
 // the bound.
-func TestBoundLeavesRoomForOtherTeams(t *testing.T) {
+func TestBoundLeavesRoomForOtherWorkspaces(t *testing.T) {
 	q := policy(10, []bundle.Class{{Name: "a", QueueBound: 10}}, "flood", "y", "z")
 	admitted := map[string]int{}
 	for i := range 60 {
-		team := []string{"flood", "y", "z"}[i/20]
-		if q.Offer(epoch, task(fmt.Sprint(i), team, "a", 1)) == nil {
-			admitted[team]++
+		workspace := []string{"flood", "y", "z"}[i/20]
+		if q.Offer(epoch, task(fmt.Sprint(i), workspace, "a", 1)) == nil {
+			admitted[workspace]++
 		}
 	}
 	assert.DeepEqual(t, admitted, map[string]int{"flood": 10, "y": 5, "z": 3})
@@ -103,7 +103,7 @@
 // starts beyond the quota, while the quota is in use.
 func TestQuotaHoldsLoggedWork(t *testing.T) {
 	q := policy(100, nil)
-	q.SetPolicy([]bundle.Class{{Name: "a", QueueBound: 10}}, []bundle.Team{{Name: "x", Quota: slots(2)}, {Name: "y"}})
+	q.SetPolicy([]bundle.Class{{Name: "a", QueueBound: 10}}, []bundle.Workspace{{Name: "x", Quota: slots(2)}, {Name: "y"}})
 	offer(t, q, task("1", "x", "a", 2), task("2", "x", "a", 1), task("3", "y", "a", 1))
 	assert.DeepEqual(t, drainIDs(q, epoch), []string{"1", "3"})
 	q.Finished(at(1), task("1", "x", "a", 2), time.Second)
@@ -171,11 +171,11 @@
 	}
 }
 
-// TestFairShare guards against a team that gains by wide items or by a false
+// TestFairShare guards against a workspace that gains by wide items or by a false
 // declared run time.
 func TestFairShare(t *testing.T) {
 	q := policy(100, nil)
-	q.SetPolicy([]bundle.Class{{Name: "a", QueueBound: 1 << 20}}, []bundle.Team{{Name: "x", Weight: 2}, {Name: "y", Weight: 1}})
+	q.SetPolicy([]bundle.Class{{Name: "a", QueueBound: 1 << 20}}, []bundle.Workspace{{Name: "x", Weight: 2}, {Name: "y", Weight: 1}})
 	for i := range 3000 {
 		y := task(fmt.Sprint("y", i), "y", "a", 3)
 		y.RunTime = time.Millisecond
@@ -186,8 +186,8 @@
 	for range 2000 {
 		it, _ := q.Next(epoch)
 		q.Started(epoch, it)
-		q.Finished(epoch, it, ran[it.Team])
-		work[it.Team] += float64(it.Resources.Slots) * ran[it.Team].Seconds()
+		q.Finished(epoch, it, ran[it.Workspace])
+		work[it.Workspace] += float64(it.Resources.Slots) * ran[it.Workspace].Seconds()
 	}
 	ratio := work["x"] / work["y"]
 	assert.Assert(t, ratio > 1.9 && ratio < 2.1, "ratio %v", ratio)
@@ -272,7 +272,7 @@
 	assert.Assert(t, !q.AllowRetry("none") && !q.AllowRetry("unknown"))
 }
 
-// TestSetPolicy guards against work that is lost when its class or team
+// TestSetPolicy guards against work that is lost when its class or workspace
 // vanishes, and against a roll that drops the rest.
 func TestSetPolicy(t *testing.T) {
 	a, b := bundle.Class{Name: "a", QueueBound: 10}, bundle.Class{Name: "b", QueueBound: 10}
@@ -280,7 +280,7 @@
 	offer(t, q, task("1", "x", "b", 1), task("2", "x", "a", 1), task("3", "y", "a", 1), task("4", "y", "b", 1))
 	out, _ := q.Next(epoch)
 	assert.Equal(t, out.Key.JobID, "2")
-	removed := q.SetPolicy([]bundle.Class{b}, teamsOf("x"))
+	removed := q.SetPolicy([]bundle.Class{b}, workspacesOf("x"))
 	assert.DeepEqual(t, removed, []Item{task("3", "y", "a", 1), task("4", "y", "b", 1)})
 	q.Postpone(epoch, out, at(1)) // its class is gone
 	assert.DeepEqual(t, drainIDs(q, at(2)), []string{"1"})
--- a/internal/queue/use.go
+++ b/internal/queue/use.go
@@ -11,9 +11,9 @@
 	defaultRunTime = time.Second
 	// runTimeWeight is the weight of a new measurement in the moving average.
 	runTimeWeight = 0.1
-	// maxRunTimeFactor bounds the time charged to a team for one attempt, as a
+	// maxRunTimeFactor bounds the time charged to a workspace for one attempt, as a
 	// multiple of the class's average. A service that ran for weeks would
-	// otherwise keep its team from being served for as long.
+	// otherwise keep its workspace from being served for as long.
 	maxRunTimeFactor = 10
 	// minChargedShare is charged for an item without any need, so that fair
 	// share holds for such items too.
@@ -27,42 +27,42 @@
 
 // charge is the use of one item that was handed out or is running.
 type charge struct {
-	item     Item
-	need     api.Resources
-	class    *class
-	team     *team
-	flow     *flow
-	sequence uint64
-	backfill backfill
-	started  bool
-	rate     float64       // share by weight, charged per second
-	assumed  time.Duration // run time charged to the flow in advance
+	item      Item
+	need      api.Resources
+	class     *class
+	workspace *workspace
+	flow      *flow
+	sequence  uint64
+	backfill  backfill
+	started   bool
+	rate      float64       // share by weight, charged per second
+	assumed   time.Duration // run time charged to the flow in advance
 }
 
-// handOut charges the use of an item to its class and team, and an assumed run
+// handOut charges the use of an item to its class and workspace, and an assumed run
 // time to its flow. The declared run time is not used: it may be far off, and
 // Finished corrects the charge by the measured one.
 func (q *Queue) handOut(e *entry) *charge {
 	f := e.flow
 	ch := &charge{
-		item: e.item, need: e.need, class: f.class, team: f.team, flow: f,
+		item: e.item, need: e.need, class: f.class, workspace: f.workspace, flow: f,
 		sequence: e.sequence, backfill: e.backfill,
-		rate:    q.chargeRate(e.need, f.team),
+		rate:    q.chargeRate(e.need, f.workspace),
 		assumed: f.class.averageRunTime(),
 	}
 	f.virtualTime += ch.rate * ch.assumed.Seconds()
 	ch.class.use = ch.class.use.Add(ch.need)
-	ch.team.use = ch.team.use.Add(ch.need)
+	ch.workspace.use = ch.workspace.use.Add(ch.need)
 	q.use = q.use.Add(ch.need)
 	ch.class.placing++
 	q.handedOut[e.item.Key] = ch
 	return ch
 }
 
-// chargeRate returns the virtual time that a team is charged per second of run
-// time: the dominant share of the cell by the team's weight. While no capacity
+// chargeRate returns the virtual time that a workspace is charged per second of run
+// time: the dominant share of the cell by the workspace's weight. While no capacity
 // is known the share is 1, which makes fair share count items.
-func (q *Queue) chargeRate(need api.Resources, t *team) float64 {
+func (q *Queue) chargeRate(need api.Resources, t *workspace) float64 {
 	if q.scale == (api.Resources{}) {
 		return 1 / t.weight()
 	}
@@ -85,7 +85,7 @@
 	}
 	delete(q.handedOut, key)
 	ch.class.use = ch.class.use.Sub(ch.need)
-	ch.team.use = ch.team.use.Sub(ch.need)
+	ch.workspace.use = ch.workspace.use.Sub(ch.need)
 	q.use = q.use.Sub(ch.need)
 	if ch.started {
 		ch.class.running--
@@ -97,7 +97,7 @@
 }
 
 // Started records that an attempt of the item runs. The item may also come from
-// elsewhere, as when a job is adopted; a class or team that is not in force is
+// elsewhere, as when a job is adopted; a class or workspace that is not in force is
 // then ignored.
 func (q *Queue) Started(now time.Time, it Item) {
 	q.observe(now)
@@ -123,7 +123,7 @@
 }
 
 func (q *Queue) adopt(it Item) *charge {
-	c, t := q.classes[it.Class], q.teams[it.Team]
+	c, t := q.classes[it.Class], q.workspaces[it.Workspace]
 	if c == nil || t == nil {
 		return nil
 	}
@@ -134,7 +134,7 @@
 
 // Finished records that an attempt is over after it ran for the given time, or
 // that a handed out item will not start. The class's average run time and the
-// team's fair share follow the measured time.
+// workspace's fair share follow the measured time.
 func (q *Queue) Finished(now time.Time, it Item, ran time.Duration) {
 	q.observe(now)
 	ch := q.release(it.Key)
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -27,11 +27,11 @@
 }
 
 // Claim takes a caller's idempotency key for a job. The first claim of a key
-// of a team by offset wins; later ones have no effect.
+// of a workspace by offset wins; later ones have no effect.
 type Claim struct {
-	Team  string `cbor:"1,keyasint"`
-	Key   string `cbor:"2,keyasint"`
-	JobID string `cbor:"3,keyasint"`
+	Workspace string `cbor:"1,keyasint"`
+	Key       string `cbor:"2,keyasint"`
+	JobID     string `cbor:"3,keyasint"`
 }
 
 // Accept keeps a whole job; the writer becomes its coordinator. The
--- a/internal/standin/history.go
+++ b/internal/standin/history.go
@@ -17,7 +17,7 @@
 	Boot       uint64        `json:"boot"`
 	Epoch      uint64        `json:"epoch"` // of the lease under which it started
 	Attempt    api.AttemptID `json:"attempt"`
-	Team       string        `json:"team"`
+	Workspace  string        `json:"workspace"`
 	Class      string        `json:"class"`
 	Kind       api.Kind      `json:"kind"`
 	Idempotent bool          `json:"idempotent,omitempty"`
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -192,7 +192,7 @@
 
 func (w *worker) newRun(request upstream.StartRequest) *Run {
 	return &Run{Worker: w.name, Boot: w.boot, Epoch: request.Epoch, Attempt: request.Attempt,
-		Team: request.Team, Class: request.Class, Kind: request.Kind,
+		Workspace: request.Workspace, Class: request.Class, Kind: request.Kind,
 		Idempotent: request.Idempotent, Declared: request.Resources}
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,7 +9,7 @@
 bin=${FULMARLATCH_BIN:-$root/bin}
 dir=$(mktemp -d)
 token=demo-token
-team=desk
+workspace=desk
 began=$SECONDS
 
 declare -A pid=()      # running processes by name
@@ -76,7 +76,7 @@
 	local entry=$1
 	shift
 	code=0
-	answer=$("$bin/fulmarlatch-call" --server "http://${caller[$entry]}" --team "$team" --token "$token" --output json "$@") || code=$?
+	answer=$("$bin/fulmarlatch-call" --server "http://${caller[$entry]}" --workspace "$workspace" --token "$token" --output json "$@") || code=$?
 }
 
 # expect TEXT fails unless the last answer contains the text.
@@ -124,7 +124,7 @@
 		  {"name": "hold", "rank": 0, "floor": 0.2, "ceiling": 0.7, "queue_bound": 1000, "deadline_ms": 4300, "retry_budget": 0.1, "max_attempts": 2, "preemptible": false, "kinds": ["request"]},
 		  {"name": "service", "rank": 1, "floor": 0.1, "ceiling": 0.5, "queue_bound": 100, "deadline_ms": 0, "retry_budget": 0.1, "max_attempts": 100, "preemptible": false, "kinds": ["service"]},
 		  {"name": "package", "rank": 2, "floor": 0.2, "ceiling": $3, "queue_bound": 1000, "deadline_ms": 60000, "retry_budget": 0.1, "max_attempts": 3, "preemptible": true, "kinds": ["request", "batch", "gang"]}],
-		 "teams": [{"name": "$team", "weight": 1, "quota": {}, "token_hash": "$(printf %s "$token" | sha256sum | cut -d' ' -f1)"}],
+		 "workspaces": [{"name": "$workspace", "weight": 1, "quota": {}, "token_hash": "$(printf %s "$token" | sha256sum | cut -d' ' -f1)"}],
 		 "fleet": {"packing_weight": 0.5}, "timing": {}}
 	JSON
 }
--- a/test/cell_test.go
+++ b/test/cell_test.go
@@ -32,7 +32,7 @@
 	signer = "alice"
 	// otherSigner is a second operator.
 	otherSigner = "bob"
-	team        = "desk"
+	workspace   = "desk"
 	token       = "secret"
 	// tokenHash is the SHA-256 of token.
 	tokenHash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
@@ -245,7 +245,7 @@
 		{Name: "urgent", Rank: 1, Floor: 0.25, Ceiling: 0.75, QueueBound: 500, DeadlineMS: 30000, RetryBudget: 0.2, MaxAttempts: 3},
 		{Name: "bulk", Rank: 5, Floor: 0.25, Ceiling: 0.75, QueueBound: 2000, RetryBudget: 0.2, MaxAttempts: 3, Preemptible: true},
 	}
-	b.Teams = []bundle.Team{{Name: team, Weight: 1, TokenHash: tokenHash}}
+	b.Workspaces = []bundle.Workspace{{Name: workspace, Weight: 1, TokenHash: tokenHash}}
 	return b
 }
 
@@ -367,7 +367,7 @@
 // client returns a callers' client of an entry process.
 func (c *cell) client(name string) *caller.Client {
 	c.t.Helper()
-	client, err := caller.NewClient("http://"+c.entries[name].address.Caller, token, team)
+	client, err := caller.NewClient("http://"+c.entries[name].address.Caller, token, workspace)
 	assert.NilError(c.t, err)
 	c.t.Cleanup(client.Close)
 	return client
--- a/test/desk_measure_test.go
+++ b/test/desk_measure_test.go
@@ -64,8 +64,8 @@
 	assert.NilError(t, err)
 	b, err := bundle.Parse(data)
 	assert.NilError(t, err)
-	for i := range b.Teams {
-		b.Teams[i].TokenHash = ""
+	for i := range b.Workspaces {
+		b.Workspaces[i].TokenHash = ""
 	}
 	return b
 }
--- a/test/rolls_test.go
+++ b/test/rolls_test.go
@@ -153,7 +153,7 @@
 func (c *cell) forged(forge func(r *bundle.RollRecord)) [][]byte {
 	b := testBundle()
 	b.Version = 1000 + c.version
-	b.Teams = nil
+	b.Workspaces = nil
 	records := c.sign(b, signer, c.keys[signer]).Records
 	last := len(records) - 1
 	record, err := bundle.DecodeRecord(records[last])
