--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -57,19 +57,19 @@
 // have room for the given number of times its tasks, and minAsk at least. More can be
 // asked for when all of these are taken.
 const (
-	gangRoomFactor = 2
 	taskRoomFactor = 3
 	minAsk         = 12
 )
 
-// firstAsk returns the workers of the first call for a step.
+// firstAsk returns the workers of the first call for a step. A wide gang asks for as
+// many as it may: the more workers it may choose from, the sooner they have room for
+// all of it at one time.
 func (s *Scheduler) firstAsk(st *step) []string {
 	found := s.unaskedWorkers(st, 0)
-	factor := taskRoomFactor
-	if st.def.Gang {
-		factor = gangRoomFactor
+	if st.gangWidth() > 0 {
+		return workerIDs(found)
 	}
-	need := float64(factor*len(st.tasks)) / s.allowedShare(st)
+	need := float64(taskRoomFactor*len(st.tasks)) / s.allowedShare(st)
 	room, n := 0, 0
 	for n < len(found) && (float64(room) < need || n < minAsk) {
 		room += found[n].copies
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -15,7 +15,7 @@
 
 // reservingShare is the number of workers for each gang that may hold room at the
 // same time. More gangs would keep room empty that none of them can use soon.
-const reservingShare = 12
+const reservingShare = 40
 
 // minReserving is the least number of gangs that may hold room.
 const minReserving = 4
