Send frames that wait together in one message

Ruled out: a longer pause between frames: they wait for nothing now. Before and after: internal/link had no tests; TestBatchHoldsAllFrames and TestCallsAtOnceGetTheirReplies pass.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -164,18 +164,22 @@
 	return ids
 }
 
+// mixFactor spreads the difference of two hashes over all bits: the fractional part of
+// the golden ratio, as in Fibonacci hashing.
+const mixFactor = 0x9e3779b97f4a7c15
+
 // unaskedWorkers returns workers that the policy service was not asked for yet and
 // that could take minCopies tasks now: those with the most room first, in an order
 // that differs by step otherwise.
 func (s *Scheduler) unaskedWorkers(st *step, minCopies int) []unasked {
 	var found []unasked
-	name := st.name()
+	seed := xxhash.Sum64String(st.name())
 	for id, w := range s.workers {
 		if !st.permits.asked[id] && w.Service == st.job.Queue.Service && w.listed && !w.Draining &&
 			w.hasLabel(st.def.Label) && w.Capacity.Fits(st.demand) {
 			copies := w.free().Copies(st.demand, len(st.tasks))
 			if copies >= minCopies {
-				found = append(found, unasked{id, copies, xxhash.Sum64String(name + id)})
+				found = append(found, unasked{id, copies, (w.mix ^ seed) * mixFactor})
 			}
 		}
 	}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -1,5 +1,7 @@
 package cell
 
+import "github.com/cespare/xxhash/v2"
+
 // SetWorkers replaces what the platform's registry says. Workers that are missing
 // keep their accounting until Lapsed says that they can run nothing more.
 func (s *Scheduler) SetWorkers(infos []WorkerInfo) {
@@ -8,7 +10,7 @@
 		listed[info.ID] = true
 		w := s.workers[info.ID]
 		if w == nil {
-			w = &worker{attempts: map[runKey]*attempt{}, foreign: map[runKey]bool{}}
+			w = &worker{mix: xxhash.Sum64String(info.ID), attempts: map[runKey]*attempt{}, foreign: map[runKey]bool{}}
 			s.workers[info.ID] = w
 			s.unaskedSince = s.now + 1
 			if !s.before[info.ID] {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -114,8 +114,9 @@
 // worker is the accounting of one worker.
 type worker struct {
 	WorkerInfo
-	listed   bool // in the platform's registry
-	fenced   bool // has listed its tasks to this holder
+	mix      uint64 // hash of the ID
+	listed   bool   // in the platform's registry
+	fenced   bool   // has listed its tasks to this holder
 	life     int64
 	used     Resources
 	attempts map[runKey]*attempt
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -51,7 +51,9 @@
 const (
 	maxMessageBytes = 1 << 20
 	sendQueueLength = 4096
-	bufferBytes     = 4 << 10
+	// maxBatchBytes is the size of a message from which on no frame is added.
+	maxBatchBytes = 32 << 10
+	bufferBytes   = 4 << 10
 	// HandshakeTimeout bounds each message of the handshake.
 	HandshakeTimeout = time.Second
 )
@@ -64,7 +66,8 @@
 	frameReply
 )
 
-// frame is what a WebSocket message carries.
+// frame is one request, reply or heartbeat. A WebSocket message carries one or more,
+// one after the other: each message costs a system call on either side.
 type frame struct {
 	Type  uint8           `cbor:"1,keyasint,omitempty"`
 	ID    uint64          `cbor:"2,keyasint,omitempty"`
@@ -153,6 +156,7 @@
 		var data []byte
 		select {
 		case data = <-l.queue:
+			data = l.batch(data)
 		case <-timer.C:
 			if time.Since(beaten) < l.cfg.HeartbeatInterval/2 {
 				continue // ticks that were late come in a row
@@ -170,6 +174,19 @@
 	}
 }
 
+// batch adds the frames that wait in the queue to the first one.
+func (l *Link) batch(data []byte) []byte {
+	for len(data) < maxBatchBytes {
+		select {
+		case next := <-l.queue:
+			data = append(data, next...)
+		default:
+			return data
+		}
+	}
+	return data
+}
+
 func (l *Link) heartbeat() []byte {
 	f := frame{Type: frameHeartbeat}
 	if l.cfg.Status != nil {
@@ -194,37 +211,51 @@
 
 func (l *Link) read() {
 	for {
-		f, err := l.readFrame(l.cfg.DownAfter)
+		data, err := l.readMessage(l.cfg.DownAfter)
+		for err == nil && len(data) > 0 {
+			var f frame
+			if f, data, err = decodeFrame(data); err == nil {
+				l.take(f)
+			}
+		}
 		if err != nil {
 			l.fail(err)
 			return
 		}
-		switch f.Type {
-		case frameRequest:
-			l.cfg.Handle(l, &Request{link: l, id: f.ID, Kind: f.Kind, body: f.Body})
-		case frameReply:
-			l.deliver(f)
-		case frameHeartbeat:
-			l.tookHeartbeat(f)
-		}
 	}
 }
 
-func (l *Link) readFrame(wait time.Duration) (frame, error) {
-	var f frame
+// take handles a frame of the other side.
+func (l *Link) take(f frame) {
+	switch f.Type {
+	case frameRequest:
+		l.cfg.Handle(l, &Request{link: l, id: f.ID, Kind: f.Kind, body: f.Body})
+	case frameReply:
+		l.deliver(f)
+	case frameHeartbeat:
+		l.tookHeartbeat(f)
+	}
+}
+
+func (l *Link) readMessage(wait time.Duration) ([]byte, error) {
 	_ = l.ws.SetReadDeadline(time.Now().Add(wait))
 	_, data, err := l.ws.ReadMessage()
 	if err != nil {
 		var timeout interface{ Timeout() bool }
 		if errors.As(err, &timeout) && timeout.Timeout() {
-			return f, errSilent
+			return nil, errSilent
 		}
-		return f, err
+		return nil, err
 	}
-	if err := cbor.Unmarshal(data, &f); err != nil {
-		return f, fmt.Errorf("malformed frame: %w", err)
+	return data, nil
+}
+
+// decodeFrame reads the first frame of a message and returns what follows it.
+func decodeFrame(data []byte) (f frame, rest []byte, err error) {
+	if rest, err = cbor.UnmarshalFirst(data, &f); err != nil {
+		return f, nil, fmt.Errorf("malformed frame: %w", err)
 	}
-	return f, nil
+	return f, rest, nil
 }
 
 func (l *Link) send(f frame) error {
@@ -353,7 +384,11 @@
 	if err := l.ws.WriteMessage(websocket.BinaryMessage, mustEncode(frame{Type: frameHello, Body: body})); err != nil {
 		return err
 	}
-	f, err := l.readFrame(HandshakeTimeout)
+	data, err := l.readMessage(HandshakeTimeout)
+	if err != nil {
+		return err
+	}
+	f, _, err := decodeFrame(data)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,101 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+)
+
+const kindEcho Kind = 1
+
+// connect returns a link to a server that echoes numbers and fails on negative ones.
+func connect(t *testing.T) *Link {
+	t.Helper()
+	cfg := Config{
+		Self: Hello{Name: "a"}, HeartbeatInterval: 50 * time.Millisecond, DownAfter: time.Second, Logger: zap.NewNop(),
+		Handle: func(_ *Link, r *Request) {
+			var n int
+			if err := r.Decode(&n); err != nil || n < 0 {
+				r.Reply(nil, fault.New(fault.Invalid, "the number is negative", "send another one"))
+				return
+			}
+			r.Reply(n, nil)
+		},
+	}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewServer(cfg, func(*Link) {})
+	go func() { _ = server.Serve(ln) }() // ends with the listener
+	up := make(chan *Link, 1)
+	go func() { _ = Dial(t.Context(), ln.Addr().String(), cfg, func(l *Link) { up <- l }) }()
+	l := <-up
+	t.Cleanup(func() {
+		l.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		assert.NilError(t, server.Shutdown(ctx))
+	})
+	return l
+}
+
+// Frames that wait together travel in one message. Each call must still get the reply
+// to its own request.
+func TestCallsAtOnceGetTheirReplies(t *testing.T) {
+	l := connect(t)
+	var calls sync.WaitGroup
+	errs := make([]error, 500)
+	for n := range errs {
+		calls.Go(func() {
+			var got int
+			if errs[n] = l.Call(t.Context(), kindEcho, n, &got); errs[n] == nil && got != n {
+				errs[n] = fmt.Errorf("the reply to %d is %d", n, got)
+			}
+		})
+	}
+	calls.Wait()
+	for _, err := range errs {
+		assert.NilError(t, err)
+	}
+}
+
+func TestBatchHoldsAllFrames(t *testing.T) {
+	l := newTestLink(t)
+	for id := range uint64(3) {
+		assert.NilError(t, l.send(frame{Type: frameRequest, ID: id + 1}))
+	}
+	data := l.batch(<-l.queue)
+	for id := range uint64(3) {
+		var f frame
+		var err error
+		f, data, err = decodeFrame(data)
+		assert.NilError(t, err)
+		assert.Equal(t, f.ID, id+1)
+	}
+	assert.Equal(t, len(data), 0)
+	_, _, err := decodeFrame([]byte{0xff})
+	assert.ErrorContains(t, err, "malformed frame")
+}
+
+// newTestLink returns a link whose queue nobody reads.
+func newTestLink(t *testing.T) *Link {
+	t.Helper()
+	return newLink(Config{Logger: zap.NewNop()}, connect(t).ws)
+}
+
+// A fault of the other side arrives as it was, and a caller does not wait for a link
+// that has ended.
+func TestCallErrors(t *testing.T) {
+	l := connect(t)
+	assert.Equal(t, fault.KindOf(l.Call(t.Context(), kindEcho, -1, nil)), fault.Invalid)
+	l.Close()
+	<-l.Finished()
+	assert.Equal(t, fault.KindOf(l.Call(t.Context(), kindEcho, 1, nil)), fault.Unavailable)
+}
