Keep records in another partition while that of a cell is down

Ruled out: records in all partitions at once: each byte is priced, and every one of them would have to answer at a takeover. Before: TestPartialOutageOfTheLog and TestAuthorityOutlivesOutageOfClaims fail. After: they pass; a slow log, whose claims do not answer sooner, changes no lane.

--- a/cmd/fulmarlatch-entry/main.go
+++ b/cmd/fulmarlatch-entry/main.go
@@ -178,6 +178,7 @@
 		Incarnation:   strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid()),
 		LinkAddress:   s.Node.LinkAddress(),
 		Cells:         s.Cells,
+		Partitions:    s.Node.Log.Partitions,
 		CPUShare:      s.Node.Limits.CPUShare,
 		LeaseMS:       b.LeaseMS,
 		KeepEndedMS:   int64(b.StatusS * 1000),
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -48,7 +48,7 @@
 func newAgent(n *Node, index int) *agent {
 	return &agent{
 		node: n, cell: index,
-		claims:  claimLog{log: n.platform.Log, cell: index},
+		claims:  claimLog{log: n.platform.Log, partition: placeOf(index, claimOffset, n.cfg.Partitions)},
 		logger:  n.cfg.Logger.With(zap.Int("cell", index)),
 		changed: make(chan struct{}),
 		doubt:   make(chan struct{}, 1),
@@ -146,6 +146,7 @@
 		Incarnation: a.node.cfg.Incarnation,
 		Address:     a.node.cfg.LinkAddress,
 		Term:        old.Term + 1,
+		Lanes:       old.Lanes | firstLane,
 	}
 	a.node.holding.Add(1)
 	defer a.node.holding.Add(-1)
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -23,14 +23,16 @@
 	// Term counts the claims of the cell before this one.
 	Term  uint32 `cbor:"5,keyasint,omitempty"`
 	Beats uint32 `cbor:"6,keyasint,omitempty"` // renewals
+	// Lanes are the lanes that may hold records of the cell.
+	Lanes laneSet `cbor:"7,keyasint,omitempty"`
 }
 
 const claimKey = "holder"
 
 // claimLog reads and writes the claims of one cell.
 type claimLog struct {
-	log  Log
-	cell int
+	log       Log
+	partition int
 }
 
 // claimTimeout bounds one call of the log.
@@ -41,7 +43,7 @@
 func (c claimLog) read(ctx context.Context) (claim, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	records, end, err := c.log.Newest(ctx, topicClaims, c.cell)
+	records, end, err := c.log.Newest(ctx, topicClaims, c.partition)
 	if err != nil {
 		return claim{}, 0, err
 	}
@@ -66,7 +68,7 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	return c.log.Append(ctx, Append{
-		Topic: topicClaims, Partition: c.cell, At: &end,
+		Topic: topicClaims, Partition: c.partition, At: &end,
 		Records: []cell.Record{{Key: claimKey, Value: mustMarshal(next)}},
 	})
 }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -21,6 +21,8 @@
 	// Cells is the number of cells, the same in all processes; 0 lets the first
 	// process decide it by the number of workers.
 	Cells int
+	// Partitions is the number of partitions of a topic of the log; 0 if unknown.
+	Partitions int
 	// CPUShare is the share of a core that the process has. Processes with more
 	// are preferred as holders.
 	CPUShare float64
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -26,8 +26,29 @@
 	down bool
 	// mute carries calls out and loses their answers.
 	mute bool
+	// outages are the partitions that are down.
+	outages map[string]outage
 }
 
+// outage is how a partition is down.
+type outage int
+
+const (
+	noOutage outage = iota
+	refuses         // calls are refused at once
+	silent          // calls have no answer and do nothing
+	swallows        // calls are carried out and have no answer
+)
+
+// setOutage changes the state of one partition.
+func (l *fakeLog) setOutage(topic string, partition int, o outage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outages[partitionName(topic, partition)] = o
+}
+
+func partitionName(topic string, partition int) string { return fmt.Sprintf("%s/%d", topic, partition) }
+
 type fakePartition struct {
 	newest   map[string][]byte
 	end      int64
@@ -37,10 +58,12 @@
 
 var errSilentLog = errors.New("no answer")
 
-func newFakeLog() *fakeLog { return &fakeLog{partitions: map[string]*fakePartition{}} }
+func newFakeLog() *fakeLog {
+	return &fakeLog{partitions: map[string]*fakePartition{}, outages: map[string]outage{}}
+}
 
 func (l *fakeLog) partition(topic string, index int) *fakePartition {
-	name := fmt.Sprintf("%s/%d", topic, index)
+	name := partitionName(topic, index)
 	p := l.partitions[name]
 	if p == nil {
 		p = &fakePartition{newest: map[string][]byte{}}
@@ -58,6 +81,15 @@
 func (l *fakeLog) Append(ctx context.Context, a Append) (int64, error) {
 	l.mu.Lock()
 	down, mute := l.down, l.mute
+	switch l.outages[partitionName(a.Topic, a.Partition)] {
+	case refuses:
+		l.mu.Unlock()
+		return 0, &AppendError{Failure: AppendRefused, Err: errSilentLog}
+	case silent:
+		down = true
+	case swallows:
+		mute = true
+	}
 	end, err := int64(0), error(nil)
 	if !down {
 		end, err = l.partition(a.Topic, a.Partition).append(a)
@@ -97,7 +129,7 @@
 func (l *fakeLog) Newest(ctx context.Context, topic string, partition int) ([]cell.Record, int64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.down {
+	if l.down || l.outages[partitionName(topic, partition)] != noOutage {
 		return nil, 0, errSilentLog
 	}
 	p := l.partition(topic, partition)
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -50,7 +50,10 @@
 	cause     string
 	releasing chan struct{} // closed when a planned stop begins
 	released  chan struct{} // closed when the tenure has ended
-	renewed   time.Duration // since boot, when the newest confirmed renewal was sent
+	renewed   time.Duration // since boot, when the newest sign that the cell is held was asked for
+	claimed   time.Duration // since boot, when the newest confirmed renewal was sent
+	renew     chan struct{} // to renew the claim before its time
+	renewing  time.Duration // how long an earlier holder may go on to renew leases
 }
 
 // event is something that the control goroutine has to do.
@@ -94,18 +97,16 @@
 		releasing: make(chan struct{}),
 		released:  make(chan struct{}),
 		renewed:   clock.SinceBoot(),
+		renew:     make(chan struct{}, 1),
+		renewing:  renewing,
 	}
-	h.writer = newRecordWriter(a.node.platform.Log, a.cell, c.Token, h.logger)
+	h.writer = newRecordWriter(a.node.platform.Log, a.cell, a.node.cfg.Partitions, c.Token, h.logger)
+	h.writer.open = c.Lanes | firstLane
+	h.writer.confirmed = h.confirm
+	h.writer.claimsAnswer = h.claimsAnswer
+	h.writer.renewClaim = h.renewNow
 	h.writer.fenced = func() { h.lose("records_fenced") }
 	h.writer.stored = func(seq uint64) { h.post(func(s *cell.Scheduler) { h.onStored(s, seq) }) }
-	cfg := a.node.cfg
-	h.sched = cell.New(cell.Config{
-		Term:          c.Term - 1,
-		RestoreUntil:  h.now() + cell.Instant(renewing.Milliseconds()+leaseBound(cfg.LeaseMS)),
-		FarFactor:     cfg.FarFactor,
-		KeepEndedMS:   cfg.KeepEndedMS,
-		StopTimeoutMS: cfg.StopTimeoutMS,
-	})
 	return h
 }
 
@@ -141,6 +142,7 @@
 	h.tasks.Go(func() { h.keepClaim(end) })
 	if h.restore() {
 		h.tasks.Go(func() { h.writer.run(h.ctx) })
+		h.tasks.Go(func() { h.writer.runSweep(h.ctx) })
 		h.tasks.Go(func() { h.node.platform.Registry.WatchWorkers(h.ctx, h.setWorkers) })
 		h.tasks.Go(h.announce)
 		h.tasks.Go(h.keepWaves)
@@ -159,28 +161,60 @@
 // restoreTimeout bounds one reading of all records of a cell.
 const restoreTimeout = 5 * time.Second
 
-// restore fences earlier holders at the log and reads the records of the cell.
+// restore fences earlier holders at the lanes of the cell and reads their records.
 func (h *holder) restore() bool {
-	if err := h.writer.fence(h.ctx); err != nil {
-		h.lose("fence_failed")
-		return false
+	lanes := (h.claim.Lanes | firstLane).lanes()
+	for _, lane := range lanes {
+		if err := h.writer.fence(h.ctx, lane); err != nil {
+			h.lose("fence_failed")
+			return false
+		}
 	}
+	// From here on, no earlier holder gets an answer to an append, so that it ceases to
+	// renew leases within its authority.
+	restoreUntil := h.now() + cell.Instant(h.renewing.Milliseconds()+leaseBound(h.node.cfg.LeaseMS))
+	reader := newLaneReader()
+	for _, lane := range lanes {
+		records, ok := h.readLane(lane)
+		if !ok {
+			return false
+		}
+		for _, err := range reader.add(lane, records) {
+			h.logger.Error("record_skipped", zap.Error(err))
+		}
+	}
+	h.writer.setIndex(reader.index)
+	h.load(reader.records(), restoreUntil)
+	return true
+}
+
+// readLane reads the records of a lane, until it succeeds or the tenure ends.
+func (h *holder) readLane(lane int) (records []cell.Record, ok bool) {
+	partition := placeOf(h.agent.cell, laneOffsets[lane], h.node.cfg.Partitions)
 	for {
 		ctx, cancel := context.WithTimeout(h.ctx, restoreTimeout)
-		records, _, err := h.node.platform.Log.Newest(ctx, topicJobs, h.agent.cell)
+		records, _, err := h.node.platform.Log.Newest(ctx, laneTopic(lane), partition)
 		cancel()
 		if err == nil {
-			h.load(records)
-			return true
+			return records, true
 		}
-		h.logger.Warn("records_not_read", zap.Error(err))
+		h.logger.Warn("records_not_read", zap.Int("lane", lane), zap.Error(err))
 		if !clock.Sleep(h.ctx, retryPause) {
-			return false
+			return nil, false
 		}
 	}
 }
 
-func (h *holder) load(records []cell.Record) {
+// load makes the scheduler from the records of earlier holders.
+func (h *holder) load(records []cell.Record, restoreUntil cell.Instant) {
+	cfg := h.node.cfg
+	h.sched = cell.New(cell.Config{
+		Term:          h.claim.Term - 1,
+		RestoreUntil:  restoreUntil,
+		FarFactor:     cfg.FarFactor,
+		KeepEndedMS:   cfg.KeepEndedMS,
+		StopTimeoutMS: cfg.StopTimeoutMS,
+	})
 	h.sched.Tick(h.now(), time.Now().UnixMilli())
 	skipped := h.sched.Restore(records)
 	for _, err := range skipped {
--- a/internal/entry/tenure.go
+++ b/internal/entry/tenure.go
@@ -58,14 +58,16 @@
 		case <-h.ctx.Done():
 			return
 		case <-timer.C:
+		case <-h.renew:
 		}
 		next.Beats++
+		next.Lanes = h.writer.lanes()
 		sent := clock.SinceBoot()
 		newEnd, err := h.agent.claims.append(h.ctx, next, end)
 		if err == nil {
 			end = newEnd
 			h.beats.Store(next.Beats)
-			h.confirm(sent)
+			h.confirmClaim(sent, next.Lanes)
 			continue
 		}
 		if newest, at, readErr := h.agent.claims.read(h.ctx); readErr == nil {
@@ -75,10 +77,14 @@
 			}
 			end = at
 			if moved(err) {
-				h.confirm(sent) // an earlier renewal was carried out late
+				h.confirmClaim(sent, newest.Lanes) // an earlier renewal was carried out late
 			}
 			continue
 		}
+		// As long as no new holder has fenced the lane, this one holds the cell.
+		if probed := clock.SinceBoot(); h.writer.probe(h.ctx) {
+			h.confirm(probed)
+		}
 		h.logger.Debug("claim_not_renewed", zap.Duration("for", h.sinceRenewal()), zap.Error(err))
 	}
 }
@@ -86,10 +92,35 @@
 // confirm notes that a renewal was carried out that was sent at a time since boot.
 func (h *holder) confirm(at time.Duration) {
 	h.mu.Lock()
-	h.renewed = at
+	h.renewed = max(h.renewed, at)
 	h.mu.Unlock()
 }
 
+// confirmClaim notes that a renewal was carried out, and the lanes that it names.
+func (h *holder) confirmClaim(sent time.Duration, lanes laneSet) {
+	h.confirm(sent)
+	h.mu.Lock()
+	h.claimed = sent
+	h.mu.Unlock()
+	h.writer.setOpen(lanes | firstLane)
+}
+
+// claimsAnswer reports whether a renewal was confirmed that was sent after a time
+// since boot.
+func (h *holder) claimsAnswer(after time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.claimed > after
+}
+
+// renewNow has the claim renewed before its time.
+func (h *holder) renewNow() {
+	select {
+	case h.renew <- struct{}{}:
+	default:
+	}
+}
+
 // release hands the cell over: what is under way is stored, then the claim is
 // given up. It returns when the tenure has ended, or after releaseTimeout.
 func (h *holder) release(cause string) {
@@ -124,7 +155,7 @@
 			return
 		}
 	}
-	if _, err := h.agent.claims.append(h.ctx, claim{Term: h.claim.Term}, end); err != nil {
+	if _, err := h.agent.claims.append(h.ctx, claim{Term: h.claim.Term, Lanes: h.writer.lanes()}, end); err != nil {
 		h.logger.Warn("release_failed", zap.Error(err))
 	}
 	h.broadcast(kindRelease)
