Play one cell for 350 workers, bound held room by what is free

With two cells a wide gang may be allowed too few workers of its own cell. Ruled out: callers (4 to 8 of 33 busy), the holder's processor. Before: TestWaitingGangAsksForMore and TestHoldBudget fail. After: they pass.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -130,9 +130,24 @@
 // room on them rather than ask for more.
 const enoughAllowed = 8
 
-// gangChoice is how many times more room than it needs a gang should be allowed,
-// so that it does not wait for all of it to be free.
-const gangChoice = 2
+// gangChoice is how many times more room than it needs a gang should be allowed, so
+// that it does not wait for all of it to be free, and idleGangChoice the same while
+// most callers are idle.
+const (
+	gangChoice     = 2
+	idleGangChoice = 6
+)
+
+// hasIdleCallers reports whether most callers of the policy service are idle.
+func (s *Scheduler) hasIdleCallers() bool {
+	idle := 0
+	for _, c := range s.callers {
+		if len(c.calls) == 0 {
+			idle++
+		}
+	}
+	return 2*idle > len(s.callers)
+}
 
 // needsMore reports whether the workers that are allowed are too few for the step,
 // however empty they were.
@@ -140,13 +155,16 @@
 	if !st.def.Gang {
 		return len(st.permits.allowed) < enoughAllowed
 	}
-	room := 0
+	choice, room := gangChoice, 0
+	if s.hasIdleCallers() {
+		choice = idleGangChoice
+	}
 	for id := range st.permits.allowed {
 		if w := s.workers[id]; w != nil && s.suits(st, w) {
 			room += w.Capacity.Copies(st.demand, len(st.tasks))
 		}
 	}
-	return room < gangChoice*len(st.tasks)
+	return room < choice*len(st.tasks)
 }
 
 // unasked is a worker that a step has not asked for.
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -13,15 +13,42 @@
 	spare Resources // what is left at the start, besides the room of all gangs
 }
 
-// reservingShare is the number of workers for each gang that may hold room at the
-// same time. More gangs would keep room empty that none of them can use soon.
-const reservingShare = 40
+// Gangs may hold heldShare percent of the cell's processors, or idleShare percent of
+// those that are free if that is more, and minReserving of them may hold room in any
+// case. More would keep room empty that others could use by then.
+const (
+	heldShare    = 15
+	idleShare    = 80
+	minReserving = 4
+)
+
+// holdBudget is the room that gangs may still hold in a pass.
+type holdBudget struct {
+	gangs int
+	cpu   int64 // in thousandths of a core
+}
 
-// minReserving is the least number of gangs that may hold room.
-const minReserving = 4
+func (s *Scheduler) newHoldBudget() *holdBudget {
+	var all, free int64
+	for _, w := range s.workers {
+		if w.takesWork(s.now) {
+			all += w.Capacity.CPUMilli
+			free += w.free().CPUMilli
+		}
+	}
+	return &holdBudget{gangs: minReserving, cpu: max(all*heldShare/100, free*idleShare/100)}
+}
+
+// allows reports whether a gang may hold its room.
+func (b *holdBudget) allows(st *step) bool { return b.gangs > 0 || b.cpu >= st.totalCPU() }
+
+// take notes that a gang holds its room.
+func (b *holdBudget) take(st *step) {
+	b.gangs--
+	b.cpu -= st.totalCPU()
+}
 
-// maxReserving returns how many gangs may hold room at the same time.
-func (s *Scheduler) maxReserving() int { return max(len(s.workers)/reservingShare, minReserving) }
+func (s *step) totalCPU() int64 { return int64(len(s.tasks)) * s.demand.CPUMilli }
 
 // placeGang starts all tasks of a gang at once. If there is no room yet, it holds
 // the room that is free first, unless mayHold is false, and reports whether it
@@ -34,15 +61,16 @@
 		s.renew(st, false)
 		return false
 	}
-	if s.mayFindRoom(st) {
+	searched := s.mayFindRoom(st)
+	if searched {
 		st.searchAt = s.now + searchIntervalMS
 		if cands, _ := s.candidates(st); s.startGang(st, cands) {
 			return false
 		}
 	}
 	if !mayHold {
-		if places := s.placesNow(st); places != nil {
-			s.renewForGang(st, places)
+		if searched {
+			s.renewIfRoom(st)
 		}
 		return false
 	}
@@ -57,10 +85,31 @@
 	for _, p := range plan {
 		s.reserve(st, p)
 	}
-	s.renewForGang(st, plan)
+	if searched && s.waitsLong(st, plan) && s.needsMore(st) {
+		s.renew(st, false)
+	} else {
+		s.renewForGang(st, plan)
+	}
 	return true
 }
 
+// renewIfRoom renews the permits of a gang that holds no room if there is room for it
+// now, and asks for more workers otherwise.
+func (s *Scheduler) renewIfRoom(st *step) {
+	if places := s.placesNow(st); places != nil {
+		s.renewForGang(st, places)
+	} else {
+		s.renew(st, false)
+	}
+}
+
+// waitsLong reports whether a gang waits longer for the room of its plan than it takes
+// to ask for more workers.
+func (s *Scheduler) waitsLong(st *step, plan []gangPlace) bool {
+	q := st.job.Queue.Policy
+	return q != nil && int64(plan[len(plan)-1].start-s.now) > q.Duration(maxAskWorkers)
+}
+
 // reserve holds the room of a place for the gang.
 func (s *Scheduler) reserve(st *step, p gangPlace) {
 	w, taken := p.worker, Resources{}.Plus(st.demand, int64(p.copies))
--- a/internal/cell/gang_test.go
+++ b/internal/cell/gang_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -80,3 +81,45 @@
 	r.pass(10)
 	assert.Equal(t, len(r.starts), 24*gangs)
 }
+
+// A gang that waits long for the workers that it is allowed asks for others while
+// callers of the policy service are idle. Late gangs waited for half a minute beside
+// free workers that they had not asked for.
+func TestWaitingGangAsksForMore(t *testing.T) {
+	const workers = 220
+	r := newRig(t, workers, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	for n := range workers {
+		r.submit(oneStep(jobID(n), Step{Tasks: 1, Resources: Resources{CPUMilli: 900}, EstimateMS: 9000}))
+	}
+	answers := 0
+	r.allow = func(string, string) bool { answers++; return answers%10 == 0 }
+	r.submit(Job{ID: jobID(workers), Queue: permitQueue(), Steps: []Step{{Tasks: 4, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000, Gang: true}}})
+	for range 5 {
+		r.pass(searchIntervalMS)
+	}
+	assert.Assert(t, len(r.asks) > 1, "%d calls", len(r.asks))
+	for _, ask := range r.asks[1:] {
+		for _, id := range ask.Workers {
+			assert.Assert(t, !slices.Contains(r.asks[0].Workers, id), "asked for %s again", id)
+		}
+	}
+}
+
+// How much room gangs hold follows what is free: on a full cell few may keep it from
+// others, on an idle one holding costs nothing.
+func TestHoldBudget(t *testing.T) {
+	gang := &step{demand: Resources{CPUMilli: 1000}, tasks: make([]*task, 10)}
+	holding := func(r *rig) int {
+		b, n := r.s.newHoldBudget(), 0
+		for ; b.allows(gang); n++ {
+			b.take(gang)
+		}
+		return n
+	}
+	r := newRig(t, 100, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	assert.Equal(t, holding(r), 8)
+	for n := range 100 {
+		r.submit(oneStep(jobID(n), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 9000}))
+	}
+	assert.Equal(t, holding(r), minReserving)
+}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -37,15 +37,19 @@
 		w.reservations = w.reservations[:0]
 	}
 	s.reserved = s.reserved[:0]
-	reserving, mayReserve, tries, position := 0, s.maxReserving(), 0, 0
+	var budget *holdBudget
+	tries, position := 0, 0
 	order := s.order()
 	for _, st := range order {
 		if !s.placeable(st) {
 			continue
 		}
 		if st.def.Gang {
-			if s.placeGang(st, reserving < mayReserve) {
-				reserving++
+			if budget == nil {
+				budget = s.newHoldBudget()
+			}
+			if s.placeGang(st, budget.allows(st)) {
+				budget.take(st)
 			}
 			continue
 		}
--- a/internal/entry/layout.go
+++ b/internal/entry/layout.go
@@ -25,7 +25,7 @@
 	// workersPerCell is the number of workers that a cell should have. A gang has to
 	// find its room among the workers of its cell that it is allowed to use, a
 	// quarter of them for some queues; in larger cells the holder's work grows.
-	workersPerCell = 175
+	workersPerCell = 400
 	// registryQuiet is how long the number of workers must stay the same before
 	// it decides the layout.
 	registryQuiet = 1200 * time.Millisecond
