Test three decisions whose negation left all tests green

Cause: negating the outcome in attemptEnded, the comparison in kind.learn and the phase in commitReserved failed no test. Ruled out: other tests of the packages; each was run against the three mutants. Before: no failure. After: TestAnswersNameFailuresOnly, TestLearnUpFasterThanDown and TestRepeatedCommitBeforeStart fail for one mutant each and pass on the code.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -53,6 +53,23 @@
 	}
 }
 
+// TestAnswersNameFailuresOnly guards against an answer that is completed and names a
+// failure, or has failed and names none.
+func TestAnswersNameFailuresOnly(t *testing.T) {
+	cell := warmCell(t, 2, 2)
+	cell.ask("e0", 1, message.OpSubmit, request(time.Second))
+	cell.advance(3 * time.Second)
+	assert.Assert(t, cell.answer("e0", 1).Error == nil)
+	for _, w := range cell.workers {
+		w.fails = true
+	}
+	cell.ask("e0", 2, message.OpSubmit, request(time.Second))
+	cell.advance(30 * time.Second)
+	answer := cell.answer("e0", 2)
+	assert.Equal(t, answer.Outcome, api.OutcomeFailed)
+	assert.Equal(t, answer.Error.Kind, fault.TaskFailed)
+}
+
 // TestNeverFits guards against a job that waits for ever for a worker that does
 // not exist.
 func TestNeverFits(t *testing.T) {
--- a/internal/core/holder_test.go
+++ b/internal/core/holder_test.go
@@ -125,3 +125,21 @@
 	}
 	assert.Equal(t, starts, 1)
 }
+
+// TestRepeatedCommitBeforeStart guards against a holder that answers a repeated commit
+// with a start that its worker has not confirmed: the coordinator would tell its caller
+// that the task runs.
+func TestRepeatedCommitBeforeStart(t *testing.T) {
+	l := newLone()
+	id := attemptID("e1-1-1", 1)
+	spec := runningAt(id, peerRef).Spec
+	spec.Attempt = api.AttemptID{}
+	l.receive(message.Reserve{Attempts: []api.AttemptID{id}, Spec: spec, TTLMS: 5000})
+	commit := message.Commit{Place: message.Place{Attempt: id, Worker: "w00", Epoch: 5, Boot: 2}}
+	l.receive(commit)
+	assert.Assert(t, l.receive(commit) == nil, "the worker has not confirmed the start")
+	l.step(TaskStarted{Worker: "w00", Epoch: 5, Attempt: id})
+	started, ok := l.receive(commit).(message.Started)
+	assert.Assert(t, ok)
+	assert.Equal(t, started.Attempt, id)
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -363,3 +363,15 @@
 	_, kind := tryReserve(p, start, request(5, "c", size(1, 1)))
 	assert.Equal(t, kind, fault.NoCapacity, "measured memory must be kept free of new tasks")
 }
+
+// TestLearnUpFasterThanDown guards against learned sizes that follow one small task as
+// fast as a large one: workers would be given more than they hold.
+func TestLearnUpFasterThanDown(t *testing.T) {
+	k := &kind{}
+	k.learned[api.Memory] = 2
+	k.learn(api.Memory, 4)
+	assert.Equal(t, k.learned[api.Memory], 2+learnUp*2)
+	k.learned[api.Memory] = 2
+	k.learn(api.Memory, 1)
+	assert.Equal(t, k.learned[api.Memory], 2-learnDown*1)
+}
