--- a/cmd/fulmarlatch-entry/main.go
+++ b/cmd/fulmarlatch-entry/main.go
@@ -116,6 +116,10 @@
 	front := platform.NewFront(node, config, log)
 	log.Info("started", zap.String("domain", s.Node.Domain), zap.Int("cells", s.Cells), zap.String("links", s.Node.LinkAddress()))
 
+	if mode := s.Node.ControlMode; mode != "" && mode != platform.ControlByRequest {
+		log.Warn("control_mode_unknown", zap.String("mode", mode), zap.String("remedy", "workers are given orders by requests; have them take these"))
+	}
+
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reload := make(chan os.Signal, 1)
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -40,7 +40,9 @@
 	waiters  []waiter
 	accepts  []pendingAccept
 	stored   uint64
-	lagging  time.Time // since when events have waited too long
+	lagging  time.Time     // since when events have waited too long
+	longest  time.Duration // wait of an event since the last line with the state
+	turns    int           // of the control goroutine since then
 
 	toldSilent time.Time // when the followers were last told of a silent log
 	summarized time.Time // when the state of the cell was last logged
@@ -243,6 +245,7 @@
 			return
 		}
 		h.perform(h.sched.Actions())
+		h.turns++
 	}
 }
 
@@ -269,6 +272,7 @@
 // checkPace looks at how long an event has waited.
 func (h *holder) checkPace(posted time.Time) {
 	now := time.Now()
+	h.longest = max(h.longest, now.Sub(posted))
 	if now.Sub(posted) < lagLimit {
 		h.lagging = time.Time{}
 		return
@@ -350,7 +354,9 @@
 	h.logger.Info("cell_state", zap.Int("jobs", s.Jobs), zap.Int("waiting", s.Waiting), zap.Int("late", s.Late),
 		zap.Int("attempts", s.Attempts), zap.Int("closing", s.Closing), zap.Int("workers", s.Workers), zap.Int("usable", s.Usable),
 		zap.Int("probation", s.Probation), zap.Int64("free_cpu_milli", s.FreeCPUMilli), zap.Int("calls", s.Calls),
-		zap.Int("calls_waiting", s.CallsWaiting), zap.Bool("settled", s.Settled), zap.Uint64("stored", h.stored))
+		zap.Int("calls_waiting", s.CallsWaiting), zap.Bool("settled", s.Settled), zap.Uint64("stored", h.stored),
+		zap.Int("turns", h.turns), zap.Duration("longest_wait", h.longest))
+	h.turns, h.longest = 0, 0
 }
 
 func (h *holder) onStarted(a cell.Start, outcome cell.StartOutcome) {
