Accept jobs while the log is slow, send a swallowed append again

Cause: an append to a log 80 times slower takes 0.56 s. One that takes 0.8 s could never have been answered. Before: TestSlowLogAcceptsJobs fails. After: it passes, with TestSwallowedAppendIsSentAgain, which keeps the time to notice the end of an outage as it was.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -36,7 +36,7 @@
 }
 
 // claimTimeout bounds one call of the log.
-const claimTimeout = 600 * time.Millisecond
+const claimTimeout = time.Second
 
 // read returns the newest claim and the end of the partition. Without any claim
 // it returns an empty one.
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
+	"github.com/fulmarlatch/fulmarlatch/internal/clock"
 )
 
 // fakeLog is a log in memory. It can keep silent about what it does or stop
@@ -26,6 +27,8 @@
 	down bool
 	// mute carries calls out and loses their answers.
 	mute bool
+	// delay is how long each call takes.
+	delay time.Duration
 	// outages are the partitions that are down.
 	outages map[string]outage
 }
@@ -40,6 +43,22 @@
 	swallows        // calls are carried out and have no answer
 )
 
+func (l *fakeLog) setDelay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
+// wait takes the time of a call.
+func (l *fakeLog) wait(ctx context.Context) {
+	l.mu.Lock()
+	delay := l.delay
+	l.mu.Unlock()
+	if delay > 0 {
+		clock.Sleep(ctx, delay)
+	}
+}
+
 // setOutage changes the state of one partition.
 func (l *fakeLog) setOutage(topic string, partition int, o outage) {
 	l.mu.Lock()
@@ -79,6 +98,7 @@
 }
 
 func (l *fakeLog) Append(ctx context.Context, a Append) (int64, error) {
+	l.wait(ctx)
 	l.mu.Lock()
 	down, mute := l.down, l.mute
 	switch l.outages[partitionName(a.Topic, a.Partition)] {
@@ -127,6 +147,7 @@
 }
 
 func (l *fakeLog) Newest(ctx context.Context, topic string, partition int) ([]cell.Record, int64, error) {
+	l.wait(ctx)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down || l.outages[partitionName(topic, partition)] != noOutage {
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -154,6 +154,7 @@
 	h.cancel()
 	h.closeLinks()
 	h.tasks.Wait()
+	h.writer.calls.Wait()
 	close(h.released)
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/entry/lanes_test.go
+++ b/internal/entry/lanes_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -104,3 +105,39 @@
 	assert.Equal(t, len(w.sweepable()), 0)
 	assert.Equal(t, w.lanes(), laneSet(0).with(1))
 }
+
+// A log that is slow, but answers, must not have jobs refused: what is accepted a second
+// late can still be on time.
+func TestSlowLogAcceptsJobs(t *testing.T) {
+	log, fleet := newFakeLog(), newFakeFleet(2)
+	holder, _ := pair(t, log, fleet)
+	log.setDelay(700 * time.Millisecond)
+	assert.NilError(t, holder.Submit(within(4*time.Second), testJob(1))) // shows how slow the log is
+	var submits sync.WaitGroup
+	errs := make([]error, 8)
+	for n := range errs {
+		submits.Go(func() {
+			time.Sleep(time.Duration(n) * 150 * time.Millisecond)
+			errs[n] = holder.Submit(within(4*time.Second), testJob(2+n))
+		})
+	}
+	submits.Wait()
+	for _, err := range errs {
+		assert.NilError(t, err)
+	}
+}
+
+// An outage may swallow an append. It is sent again soon, and not only when the first
+// call is given up.
+func TestSwallowedAppendIsSentAgain(t *testing.T) {
+	log, fleet := newFakeLog(), newFakeFleet(2)
+	holder, _ := pair(t, log, fleet)
+	log.set(true, false)
+	accepted := make(chan error, 1)
+	go func() { accepted <- holder.Submit(within(4*time.Second), testJob(1)) }()
+	time.Sleep(200 * time.Millisecond)
+	log.set(false, false)
+	begun := time.Now()
+	assert.NilError(t, <-accepted)
+	assert.Assert(t, time.Since(begun) < appendTimeout-time.Second, "accepted %v after the outage", time.Since(begun))
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -77,7 +77,7 @@
 	}
 	h.post(func(s *cell.Scheduler) {
 		// A job that was handed in before may be stored by now, or later.
-		if h.writer.silent() > logSilence && !s.Known(job.ID) {
+		if h.writer.silent() > h.writer.patience() && !s.Known(job.ID) {
 			reply(h.logDown())
 			return
 		}
--- a/internal/entry/tenure.go
+++ b/internal/entry/tenure.go
@@ -23,7 +23,8 @@
 
 // isLogSilent reports whether the log owes the holder an answer for too long.
 func (h *holder) isLogSilent() bool {
-	return h.writer.silent() > logSilence || h.sinceRenewal() > renewInterval+logSilence
+	patience := h.writer.patience()
+	return h.writer.silent() > patience || h.sinceRenewal() > renewInterval+patience
 }
 
 // sinceRenewal returns how long ago the newest confirmed renewal was sent. It counts
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -16,7 +16,11 @@
 
 // Bounds of appends.
 const (
-	appendTimeout  = 800 * time.Millisecond
+	// appendTimeout bounds an append. A slow log takes up to about 0.8 s for one.
+	appendTimeout = 2400 * time.Millisecond
+	// appendRepeat is how long an append waits for its answer before it is sent again
+	// beside the first call: an outage may have swallowed that.
+	appendRepeat   = 800 * time.Millisecond
 	appendPause    = 12 * time.Millisecond // between two appends; each is priced
 	retryPause     = 60 * time.Millisecond
 	maxBatch       = 512       // records
@@ -57,12 +61,14 @@
 	wake    chan struct{}
 	// owed is when the call under way was first sent; zero if there is none.
 	owed    time.Time
+	took    time.Duration   // of the newest append that was answered
 	lane    int             // that is written to
 	wanted  laneSet         // to be opened
 	open    laneSet         // that the claim in the log names
 	index   laneIndex       // what the lanes hold; nil before they are read
 	sweep   map[string]bool // keys to be dropped from several lanes
 	opened  chan struct{}   // closed and replaced when open changes
+	calls   conc.WaitGroup
 	streams [laneCount]stream
 }
 
@@ -113,6 +119,9 @@
 }
 
 func isUnanswered(err error) bool {
+	if err == nil {
+		return false
+	}
 	var a *AppendError
 	return !errors.As(err, &a) || a.Failure == AppendUnanswered
 }
@@ -124,16 +133,59 @@
 	if records != nil {
 		defer w.cancelWhenOnlyClaimsAnswer(sent, cancel)()
 	}
-	_, err := w.log.Append(ctx, Append{
+	err := w.sendRepeatedly(ctx, Append{
 		Topic: laneTopic(lane), Partition: placeOf(w.cell, laneOffsets[lane], w.partitions), Records: records,
 		Writer: &Writer{Name: "holder", Epoch: w.epoch, Sequence: sequence},
 	})
 	if err == nil {
 		w.confirmed(sent)
+		w.mu.Lock()
+		w.took = clock.SinceBoot() - sent
+		w.mu.Unlock()
 	}
 	return err
 }
 
+// sendRepeatedly sends an append, again every appendRepeat while it has no answer, and
+// returns the first answer. The sequence number makes the repeats harmless.
+func (w *recordWriter) sendRepeatedly(ctx context.Context, a Append) error {
+	var err error
+	answers := make(chan error, appendTimeout/appendRepeat+1)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for waiting := 0; ; {
+		select {
+		case <-timer.C:
+			waiting++
+			w.calls.Go(func() {
+				_, err := w.log.Append(ctx, a)
+				answers <- err
+			})
+			timer.Reset(appendRepeat)
+		case err = <-answers:
+			if waiting--; !isUnanswered(err) || waiting == 0 {
+				return err
+			}
+		}
+	}
+}
+
+// Bounds of the time for which the log may owe an answer before new jobs are refused,
+// and the factor by which it may be slower than in its newest answer.
+const (
+	minLogPatience = logSilence
+	maxLogPatience = 1500 * time.Millisecond
+	slowerFactor   = 3
+)
+
+// patience returns for how long the log may owe an answer before it counts as silent.
+// While it is merely slow, jobs are accepted late rather than refused.
+func (w *recordWriter) patience() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return min(max(slowerFactor*w.took, minLogPatience), maxLogPatience)
+}
+
 // cancelWhenOnlyClaimsAnswer cancels an append that takes longer than calls for the
 // claims that were sent after it: the outage is one of the lane, and the log is not
 // only slow. The returned function ends the watch.
