--- a/Makefile
+++ b/Makefile
@@ -40,5 +40,5 @@
 BENCH_FILE ?= $(CURDIR)/bin/bench.txt
 bench:
 	@mkdir -p $(dir $(BENCH_FILE)); rm -f $(BENCH_FILE)
-	BENCH_TABLE=$(BENCH_FILE) $(GO) test -count=1 -p 1 -timeout 15m -run '^TestMeasure' ./internal/... ./test
+	BENCH_TABLE=$(BENCH_FILE) $(GO) test -count=1 -p 1 -timeout 15m -run '^TestMeasure' ./internal/... ./test ./platform
 	@cat $(BENCH_FILE)
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -8,6 +8,8 @@
 	"os"
 	"runtime"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -80,3 +82,46 @@
 	}
 	return above / below
 }
+
+// clockTicks is the number of ticks a second in /proc/PID/stat on Linux.
+const clockTicks = 100
+
+// CPUTime returns the processor time that a process has used.
+func CPUTime(t *testing.T, pid int) time.Duration {
+	t.Helper()
+	stat := ProcFields(t, pid, "stat")
+	return time.Duration(atoi(t, stat[13])+atoi(t, stat[14])) * time.Second / clockTicks
+}
+
+// ProcValue returns the number after a name in a file of /proc/PID, such as VmRSS: in
+// status, in the unit of that file.
+func ProcValue(t *testing.T, pid int, file, name string) float64 {
+	t.Helper()
+	fields := ProcFields(t, pid, file)
+	for i, f := range fields {
+		if f == name && i+1 < len(fields) {
+			return float64(atoi(t, fields[i+1]))
+		}
+	}
+	t.Fatalf("/proc/%d/%s has no %s", pid, file, name)
+	return 0
+}
+
+// ProcFields returns the fields of a file of /proc/PID.
+func ProcFields(t *testing.T, pid int, file string) []string {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pid, file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Fields(string(data))
+}
+
+func atoi(t *testing.T, s string) int64 {
+	t.Helper()
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
--- a/test/measure_test.go
+++ b/test/measure_test.go
@@ -5,10 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -33,8 +30,6 @@
 	// entryProcessors is the size of a small entry VM. With all processors of a
 	// large machine the Go runtime spends more on looking for work at rest.
 	entryProcessors = 2
-	// clockTicks is the number of ticks a second in /proc/PID/stat on Linux.
-	clockTicks = 100
 )
 
 // enquiryShape is the worker of the enquiry desk.
@@ -62,11 +57,10 @@
 	var u usage
 	for _, e := range c.entries {
 		pid := e.command.Process.Pid
-		stat := procFields(c.t, pid, "stat")
-		u.cpu += time.Duration(atoi(c.t, stat[13])+atoi(c.t, stat[14])) * time.Second / clockTicks
-		u.written += procValue(c.t, pid, "io", "wchar:")
-		u.read += procValue(c.t, pid, "io", "rchar:")
-		resident := 1024 * procValue(c.t, pid, "status", "VmRSS:")
+		u.cpu += measure.CPUTime(c.t, pid)
+		u.written += measure.ProcValue(c.t, pid, "io", "wchar:")
+		u.read += measure.ProcValue(c.t, pid, "io", "rchar:")
+		resident := 1024 * measure.ProcValue(c.t, pid, "status", "VmRSS:")
 		u.resident += resident
 		u.largestResident = max(u.largestResident, resident)
 	}
@@ -83,30 +77,6 @@
 	return u
 }
 
-func procFields(t *testing.T, pid int, file string) []string {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pid, file))
-	assert.NilError(t, err)
-	return strings.Fields(string(data))
-}
-
-// procValue returns the number after a name in a file of /proc/PID.
-func procValue(t *testing.T, pid int, file, name string) float64 {
-	fields := procFields(t, pid, file)
-	for i, f := range fields {
-		if f == name {
-			return float64(atoi(t, fields[i+1]))
-		}
-	}
-	t.Fatalf("/proc/%d/%s has no %s", pid, file, name)
-	return 0
-}
-
-func atoi(t *testing.T, s string) int64 {
-	n, err := strconv.ParseInt(s, 10, 64)
-	assert.NilError(t, err)
-	return n
-}
-
 // report writes the mean per process and second between two readings.
 func (c *cell) report(label string, before, after usage, elapsed time.Duration) {
 	per := after.processes * elapsed.Seconds()
