Leave processor time between passes, change lanes only on clear evidence

In the backlog after the slow log a pass over 700 waiting steps took most of the holder's processor (1,200 turns in 5 s against 12,000), so that appends took longer than 300 ms; as small renewals of the claim were answered, lanes were changed eight times. Ruled out: the log (fast again from 12 s on), takeovers.

--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -60,6 +60,7 @@
 		return
 	}
 	t.done = true
+	s.changed = true
 	t.step.done++
 	t.step.started = true
 	t.step.job.started = true
@@ -81,6 +82,7 @@
 		t.done = true
 	}
 	st.done = len(st.tasks)
+	s.changed = true
 	st.started = true
 	st.job.started = true
 	s.markDirty(st.job)
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -289,6 +289,7 @@
 	w.attempts[runKey{t.id(), run}] = a
 	w.used = w.used.Plus(a.demand, 1)
 	t.attempts = append(t.attempts, a)
+	s.changed = true
 	t.lastRun = max(t.lastRun, run)
 	st.lastRun = max(st.lastRun, run)
 	return a
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -151,8 +151,13 @@
 	return !st.job.restored || s.Settled()
 }
 
-// dropPlaced takes steps without unplaced tasks off the waiting list.
+// dropPlaced takes steps without unplaced tasks off the waiting list, if any task was
+// placed or has ended since it was last looked through.
 func (s *Scheduler) dropPlaced() {
+	if !s.changed {
+		return
+	}
+	s.changed = false
 	kept := s.waiting[:0]
 	for _, st := range s.waiting {
 		if st.job.final == "" && !st.complete() && st.unplaced() {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -213,6 +213,7 @@
 	unstored  map[*worker]bool // workers with ends that may not be acknowledged yet
 	reserved  []*worker        // workers with reservations of the present pass
 	freed     []*worker        // workers that have gained room since the last pass
+	changed   bool             // an attempt was opened, or a task or job has ended, since waiting was looked through
 	rename    bool             // the record of workers has to be written
 	rosterSeq uint64           // of the newest record of workers
 	before    map[string]bool  // workers of earlier holders that have not listed their tasks
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -57,6 +57,7 @@
 func (s *Scheduler) Withdraw(id string) {
 	if j := s.jobs[id]; j != nil && j.final == "" && j.acceptSeq > s.stored {
 		j.final = Cancelled
+		s.changed = true
 		delete(s.jobs, id)
 	}
 }
@@ -215,6 +216,7 @@
 // finish ends a job: writes its final state and stops what still runs.
 func (s *Scheduler) finish(j *job, final State) {
 	j.final = final
+	s.changed = true
 	j.endedUnixMS = s.unixMS
 	j.dirty = false
 	s.persist(j.ID+progressSuffix, nil)
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -43,6 +43,7 @@
 	lagging  time.Time     // since when events have waited too long
 	longest  time.Duration // wait of an event since the last line with the state
 	turns    int           // of the control goroutine since then
+	passFrom time.Time     // before which no pass begins; zero if one may begin now
 
 	toldSilent time.Time // when the followers were last told of a silent log
 	summarized time.Time // when the state of the cell was last logged
@@ -54,6 +55,7 @@
 	released  chan struct{} // closed when the tenure has ended
 	renewed   time.Duration // since boot, when the newest sign that the cell is held was asked for
 	claimed   time.Duration // since boot, when the newest confirmed renewal was sent
+	claimTook time.Duration // of that renewal
 	renew     chan struct{} // to renew the claim before its time
 	renewing  time.Duration // how long an earlier holder may go on to renew leases
 }
@@ -165,7 +167,10 @@
 func (h *holder) control() {
 	timer := time.NewTicker(controlInterval)
 	defer timer.Stop()
+	pass := time.NewTimer(0)
+	defer pass.Stop()
 	h.updateCallers(h.sched)
+	due := false // a pass is due when the timer fires
 	for {
 		select {
 		case e := <-h.events:
@@ -173,18 +178,39 @@
 			h.checkPace(e.posted)
 			e.do(h.sched)
 			h.drainEvents()
+			due = true
 		case <-timer.C:
 			h.tick()
 			h.checkLog()
 			h.logSummary()
+			due = true
+		case <-pass.C:
+			h.passFrom = time.Time{}
 		case <-h.ctx.Done():
 			return
 		}
-		h.perform(h.sched.Actions())
-		h.turns++
+		if due && h.passFrom.IsZero() {
+			due = false
+			h.pass(pass)
+		}
 	}
 }
 
+// passPause is how many times as long as a pass took the next one waits. Passes of a
+// long queue would otherwise take the whole processor from requests and appends.
+const passPause = 1.5
+
+// pass decides and carries out what is decided. The timer fires when the next pass may
+// begin.
+func (h *holder) pass(next *time.Timer) {
+	begun := time.Now()
+	h.perform(h.sched.Actions())
+	h.turns++
+	pause := time.Duration(float64(time.Since(begun)) * passPause)
+	h.passFrom = begun.Add(pause)
+	next.Reset(pause)
+}
+
 func (h *holder) tick() { h.sched.Tick(h.now(), time.Now().UnixMilli()) }
 
 func (h *holder) drainEvents() {
--- a/internal/entry/tenure.go
+++ b/internal/entry/tenure.go
@@ -101,17 +101,22 @@
 func (h *holder) confirmClaim(sent time.Duration, lanes laneSet) {
 	h.confirm(sent)
 	h.mu.Lock()
-	h.claimed = sent
+	h.claimed, h.claimTook = sent, clock.SinceBoot()-sent
 	h.mu.Unlock()
 	h.writer.setOpen(lanes | firstLane)
 }
 
-// claimsAnswer reports whether a renewal was confirmed that was sent after a time
-// since boot.
-func (h *holder) claimsAnswer(after time.Duration) bool {
+// muchSooner is how many times as long as a renewal of the claim an append must have
+// taken for its lane to count as down. Appends are larger than renewals, and a log that
+// is slow is slow for both.
+const muchSooner = 4
+
+// claimsAnswer reports whether the claims have answered a renewal that was sent after an
+// append, much sooner than the append was.
+func (h *holder) claimsAnswer(sent time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.claimed > after
+	return h.claimed > sent && clock.SinceBoot()-sent > muchSooner*h.claimTook
 }
 
 // renewNow has the claim renewed before its time.
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -50,9 +50,9 @@
 	fenced     func()
 	// confirmed notes that an append was carried out that was sent at a time since boot.
 	confirmed func(sent time.Duration)
-	// claimsAnswer reports whether the claims have answered a call that was sent after
-	// a time since boot.
-	claimsAnswer func(after time.Duration) bool
+	// claimsAnswer reports whether the claims have answered much sooner than an append
+	// that was sent at a time since boot.
+	claimsAnswer func(sent time.Duration) bool
 	// renewClaim has the claim renewed now, so that it names the lanes that lanes returns.
 	renewClaim func()
 
