--- a/cmd/fulmarlatch-entry/main.go
+++ b/cmd/fulmarlatch-entry/main.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/entry"
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 	"github.com/fulmarlatch/fulmarlatch/internal/logging"
 	"github.com/fulmarlatch/fulmarlatch/internal/operator"
 	"github.com/fulmarlatch/fulmarlatch/platform"
@@ -89,7 +90,7 @@
 		address string
 	}{{&l.front, n.Listen["front"]}, {&l.ready, n.Listen["ready"]}, {&l.links, n.LinkAddress()}, {&l.operator, s.OperatorAddress()}} {
 		if *socket.into, err = net.Listen("tcp4", socket.address); err != nil {
-			return l, err
+			return l, fault.Wrap(fault.Unavailable, err, "nothing can listen on "+socket.address, "end what uses the address, or correct the settings")
 		}
 	}
 	return l, nil
