--- a/internal/entry/maintenance.go
+++ b/internal/entry/maintenance.go
@@ -63,7 +63,7 @@
 
 // Times of waves.
 const (
-	waveInterval = 700 * time.Millisecond // between two looks at the machines
+	waveInterval = 350 * time.Millisecond // between two looks at the machines
 	waveTimeout  = 2 * time.Second        // of one call
 	// maxDrain bounds the wait for a machine's tasks to end by themselves.
 	maxDrain = 5 * time.Second
@@ -189,7 +189,9 @@
 		}
 	}
 	for _, m := range mine {
-		if down+len(run.draining) >= run.AtOnce && run.draining[m.ID].IsZero() {
+		// The next machines are drained while others are down, so that they can follow at
+		// once.
+		if len(run.draining) >= run.AtOnce && run.draining[m.ID].IsZero() {
 			continue
 		}
 		if run.draining[m.ID].IsZero() {
