Model the lanes of a cell's records

Cause: the protocol of ownership was modelled, records in several partitions were not. Ruled out: nothing.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -64,6 +64,12 @@
 fail cell -DNO_STOP
 fail cell -DSTOP_OPEN
 fail cell -DACK_EARLY
+pass lanes
+pass lanes -DWRITES=5
+fail lanes -DOPEN_UNCLAIMED
+fail lanes -DFENCE_ONE
+fail lanes -DFIRST_LANE_COUNTS
+fail lanes -DDROP_NEWEST_FIRST
 pass tasklease
 fail tasklease -DMANY_POLLS
 fail tasklease -DLAPSED_POLL
