Let short calls of the policy service renew while long ones wait

Ruled out: the holder (events waited 43 ms at most), the log. Before: TestLongCallsDoNotBlockRenewals fails (no call). After: it passes.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -21,21 +21,31 @@
 	case !st.permits.known:
 		s.want(st, s.firstAsk(st))
 	case s.unaskedSince > st.permits.askedAt && s.needsMore(st) && s.askMore(st):
-	case s.mayRenew() && roomWithoutPermit:
+	case s.mayRenew(st) && roomWithoutPermit:
 		s.want(st, s.roomyWorkers(st))
-	case s.mayRenew() && !st.def.Gang && len(st.permits.asked) < maxAskWorkers && s.now >= st.permits.widenAt:
+	case s.mayRenew(st) && !st.def.Gang && len(st.permits.asked) < maxAskWorkers && s.now >= st.permits.widenAt:
 		st.permits.widenAt = s.now + widenIntervalMS
 		s.want(st, s.unaskedWithRoom(st))
 	}
 }
 
-// mayRenew reports whether calls that renew permits may wait for a caller. Steps come
-// in the order in which they are placed, so that the first ones renew; the room that
-// others see is gone by the time of their turn.
-func (s *Scheduler) mayRenew() bool { return len(s.asks) <= len(s.callers)/renewShare }
+// mayRenew reports whether a call that renews permits of the step may wait for a caller.
+// Steps come in the order in which they are placed, so that the first ones renew; the
+// room that others see is gone by the time of their turn. Long calls wait for their share
+// of the callers and must not keep short ones from using the rest.
+func (s *Scheduler) mayRenew(st *step) bool {
+	long := st.job.Queue.Policy.isLong(len(st.tasks))
+	waiting := 0
+	for _, other := range s.asks {
+		if other.isLongCall() == long {
+			waiting++
+		}
+	}
+	return waiting <= len(s.callers)/renewShare
+}
 
-// renewShare is the number of callers for each waiting call from which on no permits
-// are renewed.
+// renewShare is the number of callers for each waiting call of a length from which on no
+// permits are renewed.
 const renewShare = 4
 
 // widenIntervalMS is the pause between two looks for workers with room that a step
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -308,7 +308,7 @@
 // that they are valid when its room is free.
 func (s *Scheduler) renewForGang(st *step, places []gangPlace) {
 	q := st.job.Queue.Policy
-	if q == nil || st.permits.pending || !s.mayRenew() {
+	if q == nil || st.permits.pending || !s.mayRenew(st) {
 		return
 	}
 	call := Instant(q.Duration(len(places)))
--- a/internal/cell/permits.go
+++ b/internal/cell/permits.go
@@ -214,11 +214,11 @@
 	longShare  = 60
 )
 
+// isLong reports whether a call that names n workers takes long.
+func (c *PolicyCost) isLong(n int) bool { return c != nil && c.Duration(n) >= longCallMS }
+
 // isLongCall reports whether the step's waiting call takes long.
-func (s *step) isLongCall() bool {
-	q := s.job.Queue.Policy
-	return q != nil && q.Duration(len(s.permits.wanted)) >= longCallMS
-}
+func (s *step) isLongCall() bool { return s.job.Queue.Policy.isLong(len(s.permits.wanted)) }
 
 func (s *Scheduler) longCalls() int {
 	n := 0
--- a/internal/cell/permits_test.go
+++ b/internal/cell/permits_test.go
@@ -132,3 +132,29 @@
 	}
 	assert.Assert(t, len(r.asks) <= 2*maxShortCalls && len(r.s.asks) <= 1, "%d calls, %d wait", len(r.asks), len(r.s.asks))
 }
+
+// Long calls may use a share of the callers only, and wait for it. They must not keep
+// short calls from renewing permits meanwhile: callers were idle, and steps waited beside
+// free workers.
+func TestLongCallsDoNotBlockRenewals(t *testing.T) {
+	r := newRig(t, 20, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.s.SetCallers([]string{"e1", "e2", "e3", "e4"})
+	quick := Job{ID: jobID(1), Queue: permitQueue(), Steps: []Step{{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}}}
+	slow := permitQueue()
+	slow.Policy = &PolicyCost{DecisionMS: 2 * longCallMS}
+	r.submit(oneStep(jobID(0), Step{Tasks: 20, Resources: Resources{CPUMilli: 1000}, EstimateMS: 9000}))
+	r.allow = func(string, string) bool { return true }
+	r.submit(quick)
+	r.allow = nil
+	for n := range 12 { // two of them are under way, the others wait
+		r.submit(Job{ID: jobID(2 + n), Queue: slow, Steps: []Step{{Tasks: 4, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000, Gang: true}}})
+	}
+	r.pass(2000) // the permit of the quick step expires
+	r.asks = nil
+	r.end(r.starts[0].Worker, r.starts[0].Task, r.starts[0].Run, EndDone)
+	for range 3 {
+		r.pass(searchIntervalMS)
+	}
+	assert.Equal(t, len(r.asks), 1)
+	assert.Assert(t, strings.HasPrefix(r.asks[0].Step, quick.ID))
+}
