Let the response to a release decide what becomes of the lease

Ruled out: the lease (6 s, 2.6 s old), the pause of the worker (over by then). Before: TestCommandDuringRelease fails. After: it passes, with all tests of the package.

--- a/internal/upstream/commands.go
+++ b/internal/upstream/commands.go
@@ -109,6 +109,9 @@
 	s.spawn(func() {
 		_, ok := s.retry(func() error { return s.client.Release(s.ctx, s.grant.Epoch) })
 		if !ok {
+			if s.ctx.Err() == nil {
+				s.lose()
+			}
 			return
 		}
 		s.mu.Lock()
--- a/internal/upstream/session.go
+++ b/internal/upstream/session.go
@@ -193,7 +193,8 @@
 }
 
 // retry calls f until it succeeds, is refused, or the lease is over. It returns
-// false if the lease is over. A stale epoch means that the lease is lost.
+// false if the lease is over. A stale epoch means that the lease is lost, but while a
+// release is under way its own response decides.
 func (s *Session) retry(f func() error) (refusal error, ok bool) {
 	for s.ctx.Err() == nil {
 		err := f()
@@ -201,7 +202,9 @@
 		case err == nil:
 			return nil, true
 		case fault.KindOf(err) == fault.StaleEpoch:
-			s.lose()
+			if !s.releasing.Load() {
+				s.lose()
+			}
 			return nil, false
 		case refused(err):
 			return err, true
--- a/internal/upstream/session_test.go
+++ b/internal/upstream/session_test.go
@@ -171,6 +171,21 @@
 	assert.Equal(t, len(f.platform.Violations()), 0)
 }
 
+// TestCommandDuringRelease guards against a command that the worker refuses because the
+// lease is being released, and that reports the lease as lost.
+func TestCommandDuringRelease(t *testing.T) {
+	for range 5 {
+		f := setup(t)
+		session, s := f.hold(t, "a", 6*time.Second)
+		s.expect(t, "granted 0")
+		session.Release()
+		for n := range 20 {
+			session.Acknowledge([]api.AttemptID{{Job: "job", Number: n}})
+		}
+		s.expect(t, "released")
+	}
+}
+
 // TestCommands guards against refusals that are not reported, a stop that does
 // not reach the worker, and a restarted worker that keeps its lease.
 func TestCommands(t *testing.T) {
