Copy dumped counters, and give each term of a holder its own token

Cause: core.Dump and core.Counters returned the maps that the control goroutine writes, and the operator listener encodes them in another goroutine; fulmarlatchd ended with "concurrent map iteration and map write". Change: both return copies. Ruled out: the other values of the dump (Pool.Dump and Queue.Stats build copies, the dump of internal/cell only has values).

Change: agent makes a new claim for each term; a claim without a response is still held, since its token has not been used. Weighed: one sequence kept over terms, which would have to outlive the writer and its unanswered appends.

TestMesh: a message now counts as sent before it is written, so a receiver cannot be ahead of the counter; 200 runs with the race detector pass. TestTaskPastItsMemory: a new holder begins again with throttle, on purpose: it does not know whether the order of the previous one was carried out, and throttle is idempotent. The test waits until holders have settled; its check is as before. 4 runs pass. Neither is known red any more.

"make test" now formats platform too.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	@command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin)
 
 format:
-	@unformatted=$$(gofmt -l cmd internal test 2>/dev/null); \
+	@unformatted=$$(gofmt -l cmd internal platform test 2>/dev/null); \
 	if [ -n "$$unformatted" ]; then echo "gofmt needed: $$unformatted"; exit 1; fi
 
 vet:
@@ -25,14 +25,17 @@
 lint:
 	$(GO) tool staticcheck $(PACKAGES)
 
-# Tests that are red for a known fault, listed in KNOWN-RED.txt. They run by themselves
-# and do not count.
-KNOWN_RED = ^(TestTaskPastItsMemory|TestMesh)$$
+# Tests that are red for a known fault, listed in KNOWN-RED.txt, as a regular expression,
+# and their packages. They run by themselves and do not count. Empty if there are none.
+KNOWN_RED =
+KNOWN_RED_PACKAGES =
 
 unit:
-	$(GO) test -race -timeout 8m -skip '$(KNOWN_RED)' $(PACKAGES)
+	$(GO) test -race -timeout 8m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(PACKAGES)
+ifneq ($(KNOWN_RED),)
 	@echo 'known red, not counted (KNOWN-RED.txt): $(KNOWN_RED)'
-	-$(GO) test -race -timeout 8m -run '$(KNOWN_RED)' ./test ./internal/peer
+	-$(GO) test -race -timeout 8m -run '$(KNOWN_RED)' $(KNOWN_RED_PACKAGES)
+endif
 
 # Checks the models and their mutants; needs Spin and a C compiler.
 spec: test-setup
--- a/internal/core/dump.go
+++ b/internal/core/dump.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 	"github.com/fulmarlatch/fulmarlatch/internal/placement"
@@ -97,12 +99,13 @@
 	leaseNone: "none", leaseAcquiring: "acquiring", leaseHeld: "held", leaseReleasing: "releasing",
 }
 
-// Dump returns a snapshot of the state. Its size grows with the number of workers.
+// Dump returns a snapshot of the state, which shares no memory with the core, because
+// the operator listener encodes it while the core goes on. Its size grows with the number of workers.
 func (c *Core) Dump() Dump {
 	d := Dump{
 		Self: c.cfg.Self, Domain: c.cfg.Domain, Roll: c.roll,
 		Ready: c.Ready(), Stopping: c.stopping, LogUp: c.logUp, CaughtUp: c.caughtUp,
-		Held: c.pool.Dump(), Queue: c.queue.Stats(), Counters: c.counters,
+		Held: c.pool.Dump(), Queue: c.queue.Stats(), Counters: c.Counters(),
 		Jobs: JobsDump{
 			Known: len(c.jobs.byID), Finished: len(c.jobs.finished),
 			Owned: len(c.jobs.byCoordinator[c.cfg.Self]), Keys: len(c.jobs.keys),
@@ -122,5 +125,10 @@
 	return d
 }
 
-// Counters returns a copy of the totals.
-func (c *Core) Counters() Counters { return c.counters }
+// Counters returns a copy of the totals. The caller may read it in any goroutine.
+func (c *Core) Counters() Counters {
+	k := c.counters
+	k.Outcomes = maps.Clone(k.Outcomes)
+	k.Refusals = maps.Clone(k.Refusals)
+	return k
+}
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -43,6 +43,7 @@
 		renewalsAt time.Time
 	}
 	slowUntil        time.Time     // until then, staleAfterSlow applies to claims of this process
+	servedToken      int64         // token of the newest term of this process; 0 if there was none
 	logSilentReports chan struct{} // signaled when the holder reports a silent log
 }
 
@@ -73,7 +74,7 @@
 			a.claim(ctx, newest, end)
 		case newest.Holder == a.node.cfg.Name && newest.Incarnation != a.node.cfg.Incarnation:
 			a.setStale(newest) // made by this process before its last start
-		case newest.Incarnation == a.node.cfg.Incarnation && newest.Holder == a.node.cfg.Name:
+		case newest.Incarnation == a.node.cfg.Incarnation && newest.Holder == a.node.cfg.Name && newest.Token != a.servedToken:
 			// An append of this process's claim had no response but was carried out.
 			a.hold(ctx, newest, end, authorityPeriod)
 		case newest.Holder != "" && newest.Holder != a.node.cfg.Name:
@@ -131,7 +132,9 @@
 		return false
 	case time.Now().Before(a.slowUntil):
 		return unchanged > staleAfterSlow
-	case c.Holder == "" || a.isStale(c):
+	case c.Holder == "" || a.isStale(c) || c.Token == a.servedToken:
+		// A claim of this process whose release failed. A token serves one term only:
+		// the log would take the appends of another one for repeats.
 		return unchanged >= delay
 	case a.watch.refused:
 		return unchanged > staleAfterRefused+delay
@@ -171,6 +174,7 @@
 // holder may still renew leases of workers.
 func (a *agent) hold(ctx context.Context, c claim, end int64, priorAuthority time.Duration) {
 	h := newHolder(a, c, priorAuthority)
+	a.servedToken = c.Token
 	a.setRoute(h, nil)
 	cause := h.run(ctx, end)
 	a.setRoute(nil, nil)
--- /dev/null
+++ b/internal/entry/term_test.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A holder whose release cannot be written and that finds its own claim again must not
+// number its appends from 1 under the same token. The log takes such an append for a
+// repeat and does not store it, so an accepted job is lost. First seen as soak seed 505.
+func TestTokenServesOneTerm(t *testing.T) {
+	log, fleet := newFakeLog(), newFakeFleet(2)
+	n := startNode(t, "a", log, fleet)
+	eventually(t, "a holder", n.holds)
+	first, _, _ := n.agents()[0].route()
+	for job := range 3 {
+		assert.NilError(t, n.Submit(within(3*time.Second), testJob(job)))
+	}
+	log.setOutage(topicClaims, 0, refuses)
+	first.release(causeReleased)
+	log.setOutage(topicClaims, 0, noOutage)
+	eventually(t, "the next term", func() bool {
+		next, _, _ := n.agents()[0].route()
+		return next != nil && next != first && next.ready.Load()
+	})
+	next, _, _ := n.agents()[0].route()
+	assert.Assert(t, next.claim.Token > first.claim.Token, "the next term has token %d like the one before", next.claim.Token)
+	job := testJob(4)
+	assert.NilError(t, n.Submit(within(3*time.Second), job))
+	records, _, err := log.Newest(t.Context(), topicJobs, 0)
+	assert.NilError(t, err)
+	for _, r := range records {
+		if r.Key == job.ID {
+			return
+		}
+	}
+	t.Fatal("an accepted job is not in the log")
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -194,13 +194,15 @@
 // write writes a frame; whole says that it completes a message. It returns false
 // if the link has failed.
 func (l *link) write(c *conn, frame []byte, whole bool) bool {
+	if whole {
+		// Counted before the write, so that no peer has received a message that does
+		// not count as sent yet.
+		c.counters.messagesSent.Add(1)
+	}
 	if err := c.write(frame); err != nil {
 		l.fail(fmt.Errorf("write: %w", err))
 		return false
 	}
-	if whole {
-		c.counters.messagesSent.Add(1)
-	}
 	return true
 }
 
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -71,6 +71,10 @@
 fail lanes -DFENCE_ONE
 fail lanes -DFIRST_LANE_COUNTS
 fail lanes -DDROP_NEWEST_FIRST
+pass terms
+pass terms -DTERMS=5 -DWRITES=3
+fail terms -DSAME_TOKEN
+fail terms -DNO_FENCE
 pass tasklease
 fail tasklease -DMANY_POLLS
 fail tasklease -DLAPSED_POLL
--- a/test/limits_test.go
+++ b/test/limits_test.go
@@ -149,6 +149,9 @@
 	o := defaultOptions()
 	o.workers = 1
 	c := startCell(t, o)
+	// A new holder begins again with throttle, because it does not know whether the
+	// order of the previous one was carried out. One holder must take all steps here.
+	c.awaitPreferredHolders()
 	client := c.client("entry-0")
 	service := client.Submit(context.Background(), job(api.KindService, 2, 0))
 	c.await("the service tasks to run", func() bool { return c.running(service.JobID) == 2 })
