Do not take gang members that wait for the others for hung

Cause: all members of a gang end together, and one that has done its own work stays at 100 percent until the slowest is done. After 2.5 s without progress it was taken for hung and its whole gang was stopped, shortly before its end, and the worker was put on probation.

Change: a gang member at 100 percent is not hung; one that stands still before is stopped as before. The capacity of a gang's members becomes free when the slowest ends, so plans of gangs and evacuations no longer expect that of fast members earlier. run_hung logs the percentage.

--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -109,7 +109,7 @@
 	{EventStepPlacedLate, "tasks of a step were placed after the latest start for the job's objective", "wait since the step was ready", "queue, tasks placed/all"},
 	{EventStartRefused, "a worker refused a start or did not answer it, or the start was not sent", "time since the order", "outcome of the start"},
 	{EventRunFailed, "a run of a task failed", "failed runs of the task so far", "queue"},
-	{EventRunHung, "a run makes no progress and is stopped", "time without progress", ""},
+	{EventRunHung, "a run makes no progress and is stopped", "time without progress", "percent done"},
 	{EventRunSlow, "a run on a slow worker is stopped; its task continues on another worker from the checkpoint", "estimated time saved by the move", ""},
 	{EventRunLost, "a run was stopped, ended with the worker's lease, or its gang did not assemble in time; the task is placed again", "", "how the run ended"},
 	{EventWorkerDraining, "a worker is draining and gets no new tasks", "minimum time until the worker leaves; 0 if unknown", ""},
--- a/internal/cell/drain.go
+++ b/internal/cell/drain.go
@@ -99,9 +99,9 @@
 	case def.LongRunning:
 		return s.now >= last
 	case def.Checkpoints:
-		return s.now >= last && a.estimatedEnd > leaves-evacuateMarginMS
+		return s.now >= last && a.freeAt() > leaves-evacuateMarginMS
 	}
-	return a.estimatedEnd > leaves
+	return a.freeAt() > leaves
 }
 
 // dropDrained removes draining workers without runs from the roster. They get no more
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -224,7 +224,7 @@
 		}
 		workers = append(workers, w)
 		for _, a := range w.attempts {
-			times = append(times, max(a.estimatedEnd, s.now))
+			times = append(times, max(a.freeAt(), s.now))
 		}
 	})
 	slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
@@ -285,7 +285,7 @@
 func (w *worker) freeAt(t Instant) Resources {
 	free := w.free()
 	for _, a := range w.attempts {
-		if a.estimatedEnd <= t {
+		if a.freeAt() <= t {
 			free = free.AddScaled(a.demand, 1)
 		}
 	}
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -1,5 +1,7 @@
 package cell
 
+import "strconv"
+
 // A worker whose tasks fail far more often than those of its peers is put on probation:
 // it gets no tasks for a while, and one task at a time after that.
 const (
@@ -67,7 +69,7 @@
 		for _, a := range w.attempts {
 			if a.phase == running && a.progress.at > 0 && s.isHung(a) {
 				w.health.startProbation(s.now)
-				s.emit(LogEvent{Event: EventRunHung, Failed: true, Job: a.task.step.job.ID, Task: a.task.id().String(), Run: a.run, Worker: w.ID, AgeMS: int64(s.now - a.progress.at)})
+				s.emit(LogEvent{Event: EventRunHung, Failed: true, Job: a.task.step.job.ID, Task: a.task.id().String(), Run: a.run, Worker: w.ID, AgeMS: int64(s.now - a.progress.at), Detail: strconv.Itoa(a.progress.percent)})
 				s.stop(a, "no_progress")
 			}
 		}
@@ -79,6 +81,9 @@
 	if st.def.LongRunning || st.def.EstimateMS == 0 {
 		return false
 	}
+	if st.def.Gang && a.progress.percent >= donePercent {
+		return false // waits for the other members of its gang
+	}
 	limit := max(Instant(st.def.EstimateMS)*hangFactor/100, minHangMS)
 	return a.worker.lastListing-a.progress.at > limit
 }
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -292,6 +292,7 @@
 	w.attempts[runKey{t.id(), run}] = a
 	w.used = w.used.AddScaled(a.demand, 1)
 	t.attempts = append(t.attempts, a)
+	st.updateGangEnd()
 	s.waitingStale = true
 	t.lastRun = max(t.lastRun, run)
 	st.lastRun = max(st.lastRun, run)
@@ -310,4 +311,5 @@
 			break
 		}
 	}
+	a.task.step.updateGangEnd()
 }
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -44,5 +44,31 @@
 	a.progress.update(now, r.Percent)
 	if end, known := a.progress.projectedEnd(); known {
 		a.estimatedEnd = end
+		a.task.step.updateGangEnd()
 	}
 }
+
+// donePercent is the progress that workers report for a run that has done its work.
+const donePercent = 100
+
+// updateGangEnd recomputes when the gang ends. Its members end together, so one that has
+// done its own work occupies its worker until the slowest one is done.
+func (s *step) updateGangEnd() {
+	if !s.def.Gang {
+		return
+	}
+	s.gangEnd = 0
+	for _, t := range s.tasks {
+		for _, a := range t.attempts {
+			s.gangEnd = max(s.gangEnd, a.estimatedEnd)
+		}
+	}
+}
+
+// freeAt returns when the resources of the attempt are estimated to become free.
+func (a *attempt) freeAt() Instant {
+	if a.task.step.def.Gang {
+		return a.task.step.gangEnd
+	}
+	return a.estimatedEnd
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -48,6 +48,7 @@
 	lastRun     uint32   // highest run number of all tasks
 	checkpoint  string   // newest checkpoint of a gang
 	started     bool
+	gangEnd     Instant  // when the slowest member of a running gang is estimated to end
 	plan        gangPlan // of a gang that does not fit yet
 	nextSearch  Instant  // when to search for capacity again even if no worker has gained any
 }
