Contain panics, and supersede the claim of a process that no longer holds

Cause: a panic in a goroutine of an entry process was kept by conc until Wait, which comes only at the end of the process. A holder whose control goroutine had panicked went on renewing its claim, so that no process served the cell any more; a session that had panicked left its worker's lease to expire; a start order left its attempt open for ever. A panic in the handler of an accepted link or of a caller's request ended the whole process.

Change: internal/guard runs handlers with conc/panics and logs the event "panic". The operator listener uses fiber's recover handler. A second reply to one request no longer blocks the reader of a link.

Found by the test: a process that is named by the claim and whose term has ended accepts links, and each such link reset the time for which the claim was unchanged, so that followers never superseded it. That time now goes on unless the link carried a renewal.

--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/fulmarlatch/fulmarlatch/internal/clock"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/fulmarlatch/fulmarlatch/internal/guard"
 	"github.com/fulmarlatch/fulmarlatch/internal/link"
 )
 
@@ -42,7 +43,7 @@
 		renewals   uint32
 		renewalsAt time.Time
 	}
-	slowUntil        time.Time     // until then, staleAfterSlow applies to claims of this process
+	slowUntil        time.Time     // until then, staleAfterSlow applies, so that other processes claim first
 	servedToken      int64         // token of the newest term of this process; 0 if there was none
 	logSilentReports chan struct{} // signaled when the holder reports a silent log
 }
@@ -61,31 +62,39 @@
 // run follows the holder of the cell or becomes the holder, until ctx ends.
 func (a *agent) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		newest, end, err := a.claims.read(ctx)
-		if err != nil {
-			a.logger.Debug("claim_not_read", zap.Error(err))
-			a.followLastKnown(ctx)
-			clock.Sleep(ctx, observeInterval)
-			continue
-		}
-		a.observe(newest)
-		switch {
-		case a.mayClaim(newest):
-			a.claim(ctx, newest, end)
-		case newest.Holder == a.node.cfg.Name && newest.Incarnation != a.node.cfg.Incarnation:
-			a.setStale(newest) // made by this process before its last start
-		case newest.Incarnation == a.node.cfg.Incarnation && newest.Holder == a.node.cfg.Name && newest.Token != a.servedToken:
-			// An append of this process's claim had no response but was carried out.
-			a.hold(ctx, newest, end, authorityPeriod)
-		case newest.Holder != "" && newest.Holder != a.node.cfg.Name:
-			a.follow(ctx, newest, a.dialTimeout())
-			clock.Sleep(ctx, redialDelay)
-		default:
+		if err := guard.Run(a.logger, "the agent of a cell", func() { a.step(ctx) }); err != nil {
+			a.setRoute(nil, nil)
 			clock.Sleep(ctx, observeInterval)
 		}
 	}
 }
 
+// step reads the newest claim and follows or supersedes it.
+func (a *agent) step(ctx context.Context) {
+	newest, end, err := a.claims.read(ctx)
+	if err != nil {
+		a.logger.Debug("claim_not_read", zap.Error(err))
+		a.followLastKnown(ctx)
+		clock.Sleep(ctx, observeInterval)
+		return
+	}
+	a.observe(newest)
+	switch {
+	case a.mayClaim(newest):
+		a.claim(ctx, newest, end)
+	case newest.Holder == a.node.cfg.Name && newest.Incarnation != a.node.cfg.Incarnation:
+		a.setStale(newest) // made by this process before its last start
+	case newest.Incarnation == a.node.cfg.Incarnation && newest.Holder == a.node.cfg.Name && newest.Token != a.servedToken:
+		// An append of this process's claim had no response but was carried out.
+		a.hold(ctx, newest, end, authorityPeriod)
+	case newest.Holder != "" && newest.Holder != a.node.cfg.Name:
+		a.follow(ctx, newest, a.dialTimeout())
+		clock.Sleep(ctx, redialDelay)
+	default:
+		clock.Sleep(ctx, observeInterval)
+	}
+}
+
 // followLastKnown dials the last known holder while the log does not respond.
 func (a *agent) followLastKnown(ctx context.Context) {
 	if c := a.lastKnownClaim(); c.Holder != "" && c.Holder != a.node.cfg.Name {
@@ -179,7 +188,7 @@
 	cause := h.run(ctx, end)
 	a.setRoute(nil, nil)
 	a.watch.since = time.Time{}
-	if cause == causeSlow {
+	if cause == causeSlow || cause == causePanic {
 		a.slowUntil = time.Now().Add(slowPeriod)
 	}
 	a.logger.Info("holder_ended", zap.Int64("token", c.Token), zap.String("cause", cause))
@@ -214,8 +223,11 @@
 		a.logger.Debug("holder_not_reached", zap.String("holder", c.Holder), zap.Error(err))
 		return
 	}
-	renewals, at := up.PeerStatus()
-	a.watch.renewals, a.watch.renewalsAt, a.watch.since = uint32(renewals), at, time.Time{}
+	if renewals, at := up.PeerStatus(); renewals > 0 {
+		a.watch.renewals, a.watch.renewalsAt, a.watch.since = uint32(renewals), at, time.Time{}
+	}
+	// Without a renewal over the link, the time for which the log has shown the claim
+	// unchanged goes on. The process of a term that has ended still accepts links.
 	level := zap.InfoLevel
 	if time.Since(start) < shortLinkAge {
 		level = zap.DebugLevel // a process that is not the holder closes new links at once
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -58,7 +58,8 @@
 	// and a response of the log.
 	staleAfterRefused = 320 * time.Millisecond
 	// staleAfterSlow replaces staleAfter for a process that has released the cell
-	// because it was too slow, so that other processes claim it first.
+	// because it was too slow, or whose term ended with a panic, so that other processes
+	// claim it first.
 	staleAfterSlow = 3 * time.Second
 	// slowPeriod is how long staleAfterSlow applies after such a release.
 	slowPeriod = 8 * time.Second
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -196,6 +196,7 @@
 	workers    map[string]*fakeWorker
 	starts     []string // IDs of started tasks
 	hangStarts bool     // starts are neither carried out nor answered
+	panicStart bool     // the next start panics
 }
 
 type fakeWorker struct {
@@ -245,6 +246,10 @@
 func (f *fakeFleet) Start(ctx context.Context, t Target, s StartOrder) (cell.StartOutcome, int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.panicStart {
+		f.panicStart = false
+		panic("defect")
+	}
 	if f.hangStarts {
 		f.mu.Unlock()
 		<-ctx.Done()
--- a/internal/entry/followers.go
+++ b/internal/entry/followers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/fulmarlatch/fulmarlatch/internal/guard"
 	"github.com/fulmarlatch/fulmarlatch/internal/link"
 )
 
@@ -93,18 +95,26 @@
 	h.node.spawn(func() {
 		var reply permitsReply
 		var err error
-		if a.Caller == h.node.cfg.Name {
-			reply, err = h.node.permits(in)
-		} else if l != nil {
-			ctx, cancel := context.WithTimeout(h.ctx, permitsTimeout)
-			defer cancel()
-			err = l.Call(ctx, kindPermits, in, &reply)
-		} else {
-			err = fault.New(fault.Unavailable, a.Caller+" has no link to the holder", "use another process")
-		}
+		panicked := guard.Run(h.logger, "a call of the policy service", func() { reply, err = h.callPolicy(a.Caller, l, in) })
+		err = cmp.Or(err, panicked)
 		h.post(func(s *cell.Scheduler) {
 			s.PermitsReceived(cell.PermitResult{Caller: a.Caller, Step: a.Step, Workers: a.Workers,
 				Tickets: reply.Tickets, ValidForMS: reply.ValidForMS, Failed: err != nil})
 		})
 	})
 }
+
+// callPolicy calls the policy service from this process, or from the named follower over
+// its link, which is nil if it has none.
+func (h *holder) callPolicy(caller string, l *link.Link, in permitsRequest) (reply permitsReply, err error) {
+	switch {
+	case caller == h.node.cfg.Name:
+		return h.node.permits(in)
+	case l == nil:
+		return reply, fault.New(fault.Unavailable, caller+" has no link to the holder", "use another process")
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, permitsTimeout)
+	defer cancel()
+	err = l.Call(ctx, kindPermits, in, &reply)
+	return reply, err
+}
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -14,6 +14,7 @@
 
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
 	"github.com/fulmarlatch/fulmarlatch/internal/clock"
+	"github.com/fulmarlatch/fulmarlatch/internal/guard"
 	"github.com/fulmarlatch/fulmarlatch/internal/link"
 )
 
@@ -70,6 +71,7 @@
 const (
 	causeReleased = "released"
 	causeSlow     = "too_slow"
+	causePanic    = "panic"
 )
 
 // waiter is a callback for when all records up to seq are stored.
@@ -144,16 +146,12 @@
 func (h *holder) run(ctx context.Context, end int64) string {
 	stop := context.AfterFunc(ctx, func() { h.endTerm("process_stops") })
 	defer stop()
-	h.tasks.Go(func() { h.keepClaim(end) })
-	if h.restore() {
-		h.tasks.Go(func() { h.writer.run(h.ctx) })
-		h.tasks.Go(func() { h.writer.runSweep(h.ctx) })
-		h.tasks.Go(func() { h.node.platform.Registry.WatchWorkers(h.ctx, h.setWorkers) })
-		h.tasks.Go(h.announce)
-		h.tasks.Go(h.runWaves)
-		h.ready.Store(true)
-		h.control()
-	}
+	h.spawn("the renewals of the claim", func() { h.keepClaim(end) })
+	h.contain("the control goroutine", func() {
+		if h.restore() {
+			h.serveCell()
+		}
+	})
 	h.cancel()
 	h.closeFollowerLinks()
 	h.tasks.Wait()
@@ -164,6 +162,30 @@
 	return h.cause
 }
 
+// serveCell serves the cell, whose records are restored, until the term ends.
+func (h *holder) serveCell() {
+	h.spawn("the writer of records", func() { h.writer.run(h.ctx) })
+	h.spawn("the sweep of records", func() { h.writer.runSweep(h.ctx) })
+	h.spawn("the watch of workers", func() { h.node.platform.Registry.WatchWorkers(h.ctx, h.setWorkers) })
+	h.spawn("the announcements", h.announce)
+	h.spawn("the maintenance waves", h.runWaves)
+	h.ready.Store(true)
+	h.control()
+}
+
+// spawn runs f in a new goroutine of the term. A panic in f ends the term.
+func (h *holder) spawn(where string, f func()) {
+	h.tasks.Go(func() { h.contain(where, f) })
+}
+
+// contain calls f and ends the term if f panics. A term whose claim is still renewed but
+// that does not work any more would keep every other process from serving the cell.
+func (h *holder) contain(where string, f func()) {
+	if err := guard.Run(h.logger, where, f); err != nil {
+		h.endTerm(causePanic)
+	}
+}
+
 // control runs the control goroutine: it handles events and performs the scheduler's
 // actions.
 func (h *holder) control() {
@@ -385,7 +407,7 @@
 	s := newSession(h, target)
 	s.acknowledged.Store(h.sched.Acknowledged(info.ID))
 	h.sessions[info.ID] = s
-	h.tasks.Go(s.run)
+	h.spawn("the session with a worker", s.run)
 }
 
 // closeSession removes a session that has ended.
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/fulmarlatch/fulmarlatch/internal/guard"
 	"github.com/fulmarlatch/fulmarlatch/internal/link"
 )
 
@@ -50,12 +51,13 @@
 	return n
 }
 
-// spawn runs f in a new goroutine, unless the process has stopped.
+// spawn runs f in a new goroutine, unless the process has stopped. A panic in f is
+// logged and ends only f.
 func (n *Node) spawn(f func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.closed {
-		n.tasks.Go(f)
+		n.tasks.Go(func() { _ = guard.Run(n.cfg.Logger, "a task of the process", f) })
 	}
 }
 
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
 	"github.com/fulmarlatch/fulmarlatch/internal/clock"
+	"github.com/fulmarlatch/fulmarlatch/internal/guard"
 )
 
 // Timing and limits of a session.
@@ -218,7 +219,11 @@
 
 // start orders a start in a new goroutine and reports the outcome to the scheduler.
 func (s *session) start(a cell.Start) {
-	s.holder.node.spawn(func() { s.holder.onStarted(a, s.tryStart(a)) })
+	s.holder.node.spawn(func() {
+		outcome := cell.StartUnanswered // after a panic, because the order may have been sent
+		_ = guard.Run(s.holder.logger, "a start order", func() { outcome = s.tryStart(a) })
+		s.holder.onStarted(a, outcome)
+	})
 }
 
 // tryStart orders a start and returns the outcome.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/fulmarlatch/fulmarlatch/internal/guard"
 )
 
 // Kind identifies the type of a request. The callers of the package define the values.
@@ -238,7 +239,7 @@
 func (l *Link) handleFrame(f frame) {
 	switch f.Type {
 	case frameRequest:
-		l.cfg.Handle(l, &Request{link: l, id: f.ID, Kind: f.Kind, body: f.Body})
+		l.handleRequest(&Request{link: l, id: f.ID, Kind: f.Kind, body: f.Body})
 	case frameReply:
 		l.deliverReply(f)
 	case frameHeartbeat:
@@ -246,6 +247,14 @@
 	}
 }
 
+// handleRequest passes a request to Config.Handle. If that panics, the peer gets an
+// Internal error and the link goes on.
+func (l *Link) handleRequest(r *Request) {
+	if err := guard.Run(l.cfg.Logger, "the handler of a request of "+l.peer.Name, func() { l.cfg.Handle(l, r) }); err != nil {
+		r.Reply(nil, err)
+	}
+}
+
 func (l *Link) readMessage(wait time.Duration) ([]byte, error) {
 	_ = l.ws.SetReadDeadline(time.Now().Add(wait))
 	_, data, err := l.ws.ReadMessage()
@@ -341,6 +350,7 @@
 func (l *Link) deliverReply(f frame) {
 	l.mu.Lock()
 	reply := l.waiting[f.ID]
+	delete(l.waiting, f.ID) // a second reply to the request would block the reader
 	l.mu.Unlock()
 	if reply != nil {
 		reply <- f
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -8,13 +8,19 @@
 	"testing"
 	"time"
 
+	"github.com/fasthttp/websocket"
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 )
 
-const kindEcho Kind = 1
+const (
+	kindEcho  Kind = iota + 1
+	kindPanic      // the handler panics
+	kindTwice      // the handler replies twice
+)
 
 // connect returns a link to a server that echoes numbers and returns an error for
 // negative ones.
@@ -28,6 +34,12 @@
 				r.Reply(nil, fault.New(fault.Invalid, "the number is negative", "send another one"))
 				return
 			}
+			switch r.Kind {
+			case kindPanic:
+				panic("defect")
+			case kindTwice:
+				r.Reply(n, nil)
+			}
 			r.Reply(n, nil)
 		},
 	}
@@ -102,3 +114,50 @@
 	<-l.Finished()
 	assert.Equal(t, fault.KindOf(l.Call(t.Context(), kindEcho, 1, nil)), fault.Unavailable)
 }
+
+// A handler that panics on a request must not end the process or the link.
+func TestPanicOfAHandlerIsContained(t *testing.T) {
+	l := connect(t)
+	var out int
+	assert.Equal(t, fault.KindOf(l.Call(t.Context(), kindPanic, 1, &out)), fault.Internal)
+	assert.NilError(t, l.Call(t.Context(), kindEcho, 7, &out))
+	assert.Equal(t, out, 7)
+}
+
+// A peer that replies twice must not block the reader, which would end the link.
+func TestSecondReplyIsDropped(t *testing.T) {
+	l := connect(t)
+	var out int
+	for n := range 3 {
+		assert.NilError(t, l.Call(t.Context(), kindTwice, n, &out))
+		assert.Equal(t, out, n)
+	}
+}
+
+// FuzzFrame guards against frames that panic the decoder or a handler. A malformed frame
+// ends the link and nothing else.
+func FuzzFrame(f *testing.F) {
+	body, err := cbor.Marshal(7)
+	assert.NilError(f, err)
+	for _, seed := range []frame{{Type: frameHeartbeat, Status: 3}, {Type: frameRequest, ID: 1, Kind: kindEcho, Body: body}, {Type: frameReply, ID: 1, Body: body}, {Type: frameHello}} {
+		f.Add(mustEncode(seed))
+	}
+	f.Add([]byte{0xff, 0x00})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		l := newLink(Config{Logger: zap.NewNop(), Handle: func(_ *Link, r *Request) {
+			var n int
+			_ = r.Decode(&n) // the body may be malformed
+		}}, &websocket.Conn{})
+		for len(data) > 0 {
+			next, rest, err := decodeFrame(data)
+			if err != nil {
+				return
+			}
+			if len(rest) >= len(data) {
+				t.Fatal("a frame of no bytes")
+			}
+			l.handleFrame(next)
+			data = rest
+		}
+	})
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	recoverer "github.com/gofiber/fiber/v3/middleware/recover"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
@@ -74,6 +75,7 @@
 		IdleTimeout:  idleTimeout,
 		ErrorHandler: writeError,
 	})
+	s.app.Use(recoverer.New()) // a panic in a dump becomes an error response
 	s.app.Get(PathLive, func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	s.app.Get(PathReady, s.ready)
 	s.app.Get(PathMetrics, s.limitReports(s.metrics))
