Leave the cell to larger VMs, and hand it over to them

The delay of small VMs was 156 ms.

Change: the claim carries the largest CPU share of its holders; a smaller VM waits up to 2 s longer, by its deficit. A holder releases the cell when a follower with 1.5 times its share is linked and not stopping, also before it has read the records, and at most once in 30 s. Followers report their share in heartbeats.

Ruled out: the holder's control goroutine (no event waited 120 ms); the log, which was fast again when the second small VM took over.

--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -44,6 +44,7 @@
 		renewalsAt time.Time
 	}
 	slowUntil        time.Time     // until then, staleAfterSlow applies, so that other processes claim first
+	noYieldUntil     time.Time     // until then, this process does not yield the cell
 	servedToken      int64         // token of the newest term of this process; 0 if there was none
 	logSilentReports chan struct{} // signaled when the holder reports a silent log
 }
@@ -109,7 +110,7 @@
 // of a holder that has lost power does not refuse connections, so dialing must end by
 // the time at which the claim may be superseded.
 func (a *agent) dialTimeout() time.Duration {
-	left := staleAfter + a.node.cfg.claimDelay(int(a.node.holding.Load())) - time.Since(a.watch.since)
+	left := staleAfter + a.claimDelay(a.watch.claim) - time.Since(a.watch.since)
 	return min(max(left, minDialTimeout), link.HandshakeTimeout)
 }
 
@@ -132,10 +133,16 @@
 	w.renewalsAt = time.Time{}
 }
 
+// claimDelay returns how long this process leaves the claim to others that are better
+// suited.
+func (a *agent) claimDelay(c claim) time.Duration {
+	return a.node.cfg.claimDelay(int(a.node.holding.Load()), c.BestCPUMilli)
+}
+
 // mayClaim reports whether this process may supersede the claim.
 func (a *agent) mayClaim(c claim) bool {
 	unchanged := time.Since(a.watch.since)
-	delay := a.node.cfg.claimDelay(int(a.node.holding.Load()))
+	delay := a.claimDelay(c)
 	switch {
 	case a.node.Stopping():
 		return false
@@ -160,6 +167,8 @@
 		Address:     a.node.cfg.LinkAddress,
 		Term:        old.Term + 1,
 		Lanes:       old.Lanes | firstLane,
+
+		BestCPUMilli: max(old.BestCPUMilli, a.node.cfg.cpuMilli()),
 	}
 	a.node.holding.Add(1)
 	defer a.node.holding.Add(-1)
@@ -188,8 +197,11 @@
 	cause := h.run(ctx, end)
 	a.setRoute(nil, nil)
 	a.watch.since = time.Time{}
-	if cause == causeSlow || cause == causePanic {
+	switch cause {
+	case causeSlow, causePanic:
 		a.slowUntil = time.Now().Add(slowPeriod)
+	case causeYielded:
+		a.noYieldUntil = time.Now().Add(yieldPause)
 	}
 	a.logger.Info("holder_ended", zap.Int64("token", c.Token), zap.String("cause", cause))
 }
@@ -223,8 +235,8 @@
 		a.logger.Debug("holder_not_reached", zap.String("holder", c.Holder), zap.Error(err))
 		return
 	}
-	if renewals, at := up.PeerStatus(); renewals > 0 {
-		a.watch.renewals, a.watch.renewalsAt, a.watch.since = uint32(renewals), at, time.Time{}
+	if status, at := up.PeerStatus(); status.Renewals > 0 {
+		a.watch.renewals, a.watch.renewalsAt, a.watch.since = uint32(status.Renewals), at, time.Time{}
 	}
 	// Without a renewal over the link, the time for which the log has shown the claim
 	// unchanged goes on. The process of a term that has ended still accepts links.
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -26,6 +26,9 @@
 	Renewals uint32 `cbor:"6,keyasint,omitempty"` // number of renewals so far
 	// Lanes are the lanes that may hold records of the cell.
 	Lanes laneSet `cbor:"7,keyasint,omitempty"`
+	// BestCPUMilli is the largest CPU share of a process that has held the cell, in
+	// thousandths of a core.
+	BestCPUMilli uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 const claimKey = "holder"
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -83,24 +83,38 @@
 
 // Delays before a free cell is claimed, so that better suited processes claim it first.
 const (
-	// ampleCPUShare is the CPU share at and above which there is no delay.
+	// ampleCPUShare is the CPU share at and above which there is no delay while no share
+	// of an earlier holder is known.
 	ampleCPUShare = 0.4
-	// maxShareDelay is the delay for a CPU share close to 0.
+	// maxShareDelay is the delay for a CPU share close to 0 while no share of an earlier
+	// holder is known.
 	maxShareDelay = 300 * time.Millisecond
+	// maxWeakDelay replaces maxShareDelay if a process with a larger share has held the
+	// cell. With a slow log, the others take seconds to see that the cell is free; a
+	// process with a quarter of their share needs much longer to read the records.
+	maxWeakDelay = 2 * time.Second
 	// delayPerHeldCell is the delay for each cell that the process already holds.
 	delayPerHeldCell = 250 * time.Millisecond
 )
 
 // claimDelay returns how long a process that holds the given number of cells waits
-// before it claims a free one.
-func (c *Config) claimDelay(held int) time.Duration {
+// before it claims a free one. bestCPUMilli is the largest CPU share of its earlier
+// holders, in thousandths of a core; 0 if unknown.
+func (c *Config) claimDelay(held int, bestCPUMilli uint64) time.Duration {
+	ample, longest := ampleCPUShare, maxShareDelay
+	if best := float64(bestCPUMilli) / 1000; best > c.CPUShare {
+		ample, longest = best, maxWeakDelay
+	}
 	deficit := 0.0
-	if c.CPUShare > 0 && c.CPUShare < ampleCPUShare {
-		deficit = 1 - c.CPUShare/ampleCPUShare
+	if c.CPUShare > 0 && c.CPUShare < ample {
+		deficit = 1 - c.CPUShare/ample
 	}
-	return time.Duration(deficit*float64(maxShareDelay)) + time.Duration(held)*delayPerHeldCell
+	return time.Duration(deficit*float64(longest)) + time.Duration(held)*delayPerHeldCell
 }
 
+// cpuMilli returns the CPU share in thousandths of a core; 0 if unknown.
+func (c *Config) cpuMilli() uint64 { return uint64(c.CPUShare * 1000) }
+
 // cellOf returns the index of the cell that a job ID or rack name hashes to.
 func cellOf(name string, cells int) int {
 	h := fnv.New32a()
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -319,13 +319,19 @@
 }
 
 func startNode(t *testing.T, name string, log *fakeLog, fleet *fakeFleet) *testNode {
+	t.Helper()
+	return startNodeWithShare(t, name, log, fleet, 0)
+}
+
+// startNodeWithShare starts a process on a VM with the given CPU share; 0 for unknown.
+func startNodeWithShare(t *testing.T, name string, log *fakeLog, fleet *fakeFleet, cpuShare float64) *testNode {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	client := &clientLog{fakeLog: log}
 	n := NewNode(Config{
 		Name: name, Domain: "d", Incarnation: name + ln.Addr().String(), LinkAddress: ln.Addr().String(),
-		Cells: 1, LeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3,
+		Cells: 1, CPUShare: cpuShare, LeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3,
 		Logger: zaptest.NewLogger(t, zaptest.Level(zap.WarnLevel)).With(zap.String("entry", name)),
 	}, Platform{Log: client, Registry: fleet, Controller: fleet, Policy: fleet})
 	n.Start(ln)
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -72,6 +72,7 @@
 	causeReleased = "released"
 	causeSlow     = "too_slow"
 	causePanic    = "panic"
+	causeYielded  = "yielded"
 )
 
 // waiter is a callback for when all records up to seq are stored.
@@ -147,6 +148,7 @@
 	stop := context.AfterFunc(ctx, func() { h.endTerm("process_stops") })
 	defer stop()
 	h.spawn("the renewals of the claim", func() { h.keepClaim(end) })
+	h.spawn("the search for a better holder", h.yieldToStronger)
 	h.contain("the control goroutine", func() {
 		if h.restore() {
 			h.serveCell()
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -176,22 +176,25 @@
 		HeartbeatInterval: linkHeartbeat,
 		DownAfter:         linkDownAfter,
 		Handle:            handle,
-		Status:            func() uint64 { return n.renewals(index) },
+		Status:            func() link.Status { return n.linkStatus(index) },
 		Logger:            n.cfg.Logger,
 	}
 }
 
-// renewals returns how often this process has renewed its claim to a cell, or 0 if it
-// does not hold the cell.
-func (n *Node) renewals(index int) uint64 {
+// linkStatus returns what this process reports of a cell over its links: how often it has
+// renewed its claim, or with which CPU share it could become the holder.
+func (n *Node) linkStatus(index int) link.Status {
 	agents := n.agents()
 	if index >= len(agents) {
-		return 0
+		return link.Status{}
 	}
 	if h, _, _ := agents[index].route(); h != nil {
-		return uint64(h.renewals.Load())
+		return link.Status{Renewals: uint64(h.renewals.Load())}
 	}
-	return 0
+	if n.Stopping() {
+		return link.Status{}
+	}
+	return link.Status{CPUMilli: n.cfg.cpuMilli()}
 }
 
 // holderFor returns this process's holder of the cell that the link is for, or nil.
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -165,7 +165,7 @@
 			return
 		}
 	}
-	if _, err := h.agent.claims.append(h.ctx, claim{Term: h.claim.Term, Lanes: h.writer.requiredLanes()}, end); err != nil {
+	if _, err := h.agent.claims.append(h.ctx, claim{Term: h.claim.Term, Lanes: h.writer.requiredLanes(), BestCPUMilli: h.claim.BestCPUMilli}, end); err != nil {
 		h.logger.Warn("release_failed", zap.Error(err))
 	}
 	h.broadcast(kindRelease)
--- /dev/null
+++ b/internal/entry/yield.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/clock"
+)
+
+// A holder on a small VM releases the cell when a follower on a much larger one is
+// linked: reading the records and serving hundreds of workers takes a small VM many times
+// as long, and no job starts meanwhile.
+const (
+	// yieldFactor is how many times larger the CPU share of the follower must be. A
+	// handover takes about half a second, which a small difference is not worth.
+	yieldFactor = 1.5
+	// yieldInterval is the interval between two looks at the followers.
+	yieldInterval = 200 * time.Millisecond
+	// yieldPause is how long a process that holds the cell again after it yielded does
+	// not yield again. The larger VMs may be linked without access to the log.
+	yieldPause = 30 * time.Second
+)
+
+// yieldToStronger releases the cell once a follower on a much larger VM is linked. It
+// returns when the term ends.
+func (h *holder) yieldToStronger() {
+	if h.node.cfg.cpuMilli() == 0 || time.Now().Before(h.agent.noYieldUntil) {
+		return
+	}
+	for clock.Sleep(h.ctx, yieldInterval) {
+		if name, share := h.strongestFollower(); float64(share) >= yieldFactor*float64(h.node.cfg.cpuMilli()) {
+			h.logger.Info("holder_yields", zap.String("follower", name), zap.Uint64("cpu_milli", share), zap.Bool("restored", h.ready.Load()))
+			h.node.spawn(func() { h.release(causeYielded) })
+			return
+		}
+	}
+}
+
+// strongestFollower returns the linked follower with the largest CPU share that could
+// become the holder, and that share in thousandths of a core.
+func (h *holder) strongestFollower() (name string, cpuMilli uint64) {
+	for follower, l := range h.followerLinks() {
+		if status, _ := l.PeerStatus(); status.CPUMilli > cpuMilli {
+			name, cpuMilli = follower, status.CPUMilli
+		}
+	}
+	return name, cpuMilli
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -43,14 +43,23 @@
 	// Handle processes a request. It runs on the reader goroutine and must not block;
 	// Request.Reply may be called later and from any goroutine.
 	Handle func(l *Link, r *Request)
-	// Status returns the number that every heartbeat carries. If it is nil, heartbeats
-	// carry 0.
-	Status func() uint64
+	// Status returns the status that every heartbeat carries. If it is nil, heartbeats
+	// carry the zero value.
+	Status func() Status
 	// DialTimeout limits the dialing of a link; 0 means HandshakeTimeout.
 	DialTimeout time.Duration
 	Logger      *zap.Logger
 }
 
+// Status is what a process reports of itself in every heartbeat.
+type Status struct {
+	// Renewals is how often the process has renewed its claim; 0 if it holds nothing.
+	Renewals uint64
+	// CPUMilli is the CPU share of the process in thousandths of a core, if it could take
+	// over from the peer; otherwise 0.
+	CPUMilli uint64
+}
+
 // Limits of a link.
 const (
 	maxMessageBytes = 1 << 20
@@ -78,8 +87,9 @@
 	Kind  Kind            `cbor:"3,keyasint,omitempty"`
 	Body  cbor.RawMessage `cbor:"4,keyasint,omitempty"`
 	Fault *fault.Error    `cbor:"5,keyasint,omitempty"`
-	// Status is the sender's status; it is set in heartbeats only.
-	Status uint64 `cbor:"6,keyasint,omitempty"`
+	// Renewals and CPUMilli are the sender's Status; they are set in heartbeats only.
+	Renewals uint64 `cbor:"6,keyasint,omitempty"`
+	CPUMilli uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Causes of the end of a link.
@@ -103,7 +113,7 @@
 
 	mu       sync.Mutex
 	waiting  map[uint64]chan frame
-	status   uint64 // from the peer's newest heartbeat
+	status   Status // from the peer's newest heartbeat
 	statusAt time.Time
 }
 
@@ -196,15 +206,16 @@
 func (l *Link) heartbeat() []byte {
 	f := frame{Type: frameHeartbeat}
 	if l.cfg.Status != nil {
-		f.Status = l.cfg.Status()
+		s := l.cfg.Status()
+		f.Renewals, f.CPUMilli = s.Renewals, s.CPUMilli
 	}
 	return mustEncode(f)
 }
 
 // PeerStatus returns the status from the peer's newest heartbeat and the time at which
-// it arrived. Before the first heartbeat, that is 0 and the time at which the link was
-// created.
-func (l *Link) PeerStatus() (uint64, time.Time) {
+// it arrived. Before the first heartbeat, that is the zero value and the time at which
+// the link was created.
+func (l *Link) PeerStatus() (Status, time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.status, l.statusAt
@@ -213,7 +224,7 @@
 // recordHeartbeat records the status in a heartbeat of the peer.
 func (l *Link) recordHeartbeat(f frame) {
 	l.mu.Lock()
-	l.status, l.statusAt = f.Status, time.Now()
+	l.status, l.statusAt = Status{f.Renewals, f.CPUMilli}, time.Now()
 	l.mu.Unlock()
 }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -139,7 +139,7 @@
 func FuzzFrame(f *testing.F) {
 	body, err := cbor.Marshal(7)
 	assert.NilError(f, err)
-	for _, seed := range []frame{{Type: frameHeartbeat, Status: 3}, {Type: frameRequest, ID: 1, Kind: kindEcho, Body: body}, {Type: frameReply, ID: 1, Body: body}, {Type: frameHello}} {
+	for _, seed := range []frame{{Type: frameHeartbeat, Renewals: 3, CPUMilli: 400}, {Type: frameRequest, ID: 1, Kind: kindEcho, Body: body}, {Type: frameReply, ID: 1, Body: body}, {Type: frameHello}} {
 		f.Add(mustEncode(seed))
 	}
 	f.Add([]byte{0xff, 0x00})
