Fix five faults of the cell that were found by reading

Each has a test in ends_test.go that fails before. - The end of a gang's second member was acknowledged before the completion of its occurrence was stored, because the occurrence was already gone. A new holder could find no end of the gang and run it again. It now waits for the progress. - Ended jobs that a new holder has restored are dropped in the order of their ends; before, one in the wrong place kept all behind it. - A failed run that is listed again after a takeover is no longer reported again. - Whether a call to the policy service is long is judged by the workers it names (100 at most), not by those beyond. - The time at which a draining worker leaves is counted from the update that tells it.

--- a/internal/cell/drain.go
+++ b/internal/cell/drain.go
@@ -57,13 +57,15 @@
 	return false
 }
 
-// updateLeaveTime updates the time at which a draining worker may leave.
-func (s *Scheduler) updateLeaveTime(w *worker) {
+// updateLeaveTime updates the time at which a draining worker may leave. news is set if
+// the worker has reported another remaining time than before; an update without news is
+// about other workers.
+func (s *Scheduler) updateLeaveTime(w *worker, news bool) {
 	switch {
 	case !w.Draining:
 		w.leavesAt = 0
-	case w.LeavesInMS > 0:
-		w.leavesAt = max(w.leavesAt, s.now+Instant(w.LeavesInMS))
+	case w.LeavesInMS > 0 && (news || w.leavesAt == 0):
+		w.leavesAt = s.now + Instant(w.LeavesInMS)
 	}
 }
 
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -25,9 +25,13 @@
 		p.job, p.seq = t.step.job, unwritten
 		s.newEnds = append(s.newEnds, p)
 	} else if j := s.jobs[e.Task.Job]; j != nil {
-		// Until the final state is stored, this report may be the only way for a new
-		// holder to learn of the end.
+		// Until the final state, or the completion of an occurrence, is stored, this
+		// report may be the only way for a new holder to learn of the end.
 		p.seq = j.recordSeq
+		if j.dirty {
+			p.job, p.seq = j, unwritten
+			s.newEnds = append(s.newEnds, p)
+		}
 	}
 	w.pendingEnds = append(w.pendingEnds, p)
 	s.releaseEnds(w)
@@ -119,7 +123,21 @@
 	}
 	// After a takeover, workers report their ended runs in any order and repeat ones
 	// that the log already has.
-	if !st.def.LongRunning && !slices.Contains(*failed, e.Run) {
+	if st.def.LongRunning || !slices.Contains(*failed, e.Run) {
+		s.recordFailure(t, failed, e, w)
+	}
+	if !st.def.LongRunning && len(*failed) >= st.job.Queue.MaxAttempts && !t.done {
+		s.finish(st.job, Failed)
+		return
+	}
+	s.enqueue(st)
+}
+
+// recordFailure reports a failed run and, unless its task belongs to a service, adds it
+// to the failed runs of the task or gang.
+func (s *Scheduler) recordFailure(t *task, failed *[]uint32, e *EndedTask, w *worker) {
+	st := t.step
+	if !st.def.LongRunning {
 		*failed = append(*failed, e.Run)
 		s.markDirty(st.job)
 		if !slices.Contains(st.failedOn, w.ID) {
@@ -127,11 +145,6 @@
 		}
 	}
 	s.emit(LogEvent{Event: EventRunFailed, Failed: true, Job: st.job.ID, Task: e.Task.String(), Run: e.Run, Worker: w.ID, Detail: st.job.Queue.Name, AgeMS: int64(len(*failed))})
-	if !st.def.LongRunning && len(*failed) >= st.job.Queue.MaxAttempts && !t.done {
-		s.finish(st.job, Failed)
-		return
-	}
-	s.enqueue(st)
 }
 
 // retryAfterLoss queues the task again after an attempt ended without a result.
--- /dev/null
+++ b/internal/cell/ends_test.go
@@ -0,0 +1,100 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// The ends of a gang's other members, which arrive after the gang is complete, must not
+// be acknowledged before the completion is stored. A holder that took over then could
+// find the end of no member and run the gang again.
+func TestEndsOfRepeatedGangAreAcknowledgedOnceStored(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	j := oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 100, Gang: true})
+	j.Schedule = &Schedule{Occurrences: 3, FirstUnixMS: r.unixMS, IntervalMS: 60_000}
+	r.submit(j)
+	assert.Equal(t, len(r.starts), 2)
+	r.logDown = true
+	for _, start := range r.starts {
+		r.endRun(start.Worker, start.Task, start.Run, EndDone)
+	}
+	r.advance(10)
+	for _, start := range r.starts {
+		assert.Equal(t, r.s.Acknowledged(start.Worker), uint64(0), "acknowledged before the completion is stored")
+	}
+	r.logDown = false
+	r.takeOver(2) // the progress was not stored, so the ends must still be listed
+	r.advance(10)
+	assert.Equal(t, len(r.starts), 2, "the gang ran again")
+	for _, start := range r.starts {
+		assert.Equal(t, r.s.Acknowledged(start.Worker), uint64(1))
+	}
+}
+
+// Ended jobs must be dropped in the order of their ends also after a takeover, which
+// reads the records in no particular order.
+func TestEndedJobsAreDroppedAfterTakeover(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	for n := range 8 {
+		r.submit(oneStep(jobID(n), Step{Tasks: 1, Resources: Resources{CPUMilli: 100}, EstimateMS: 100}))
+		r.endLast(EndDone)
+		r.advance(10_000)
+	}
+	r.takeOver(2)
+	r.advance(120_000 - 35_000) // the first 5 of the jobs ended more than 120 s ago
+	dropped := 0
+	for n := range 8 {
+		if r.state(jobID(n)) == "unknown" {
+			dropped++
+		}
+	}
+	assert.Equal(t, dropped, 5)
+}
+
+// A failed run that a worker lists again after a takeover must be reported only once:
+// operators count the attempts of a task in the logs.
+func TestFailureIsReportedOnce(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 100}, EstimateMS: 100}))
+	r.endRun("w00", r.starts[0].Task, 1, EndFailed)
+	r.advance(10)
+	reported := 0
+	r.s.Listed(Listing{Worker: "w00", Incarnation: 1, RequestedAt: r.now, Ended: []EndedTask{{Number: 9, Task: r.starts[0].Task, Run: 1, Kind: EndFailed}}})
+	for _, a := range r.s.Actions() {
+		if e, ok := a.(LogEvent); ok && e.Event == EventRunFailed {
+			reported++
+		}
+	}
+	assert.Equal(t, reported, 0)
+}
+
+// A call names at most maxCallWorkers workers, so its duration must not be estimated
+// with those beyond. Otherwise short calls wait for a share of the callers that they do
+// not need.
+func TestLongCallCountsNamedWorkers(t *testing.T) {
+	st := &step{job: &job{Job: &Job{Queue: Queue{Policy: &PolicyCost{DecisionMS: 100, PerWorkerMS: 1}}}}}
+	for n := range 350 {
+		st.permits.callWorkers = append(st.permits.callWorkers, fmt.Sprint(n))
+	}
+	assert.Assert(t, !st.isLongCall(), "a call of 200 ms counts as long")
+}
+
+// The time at which a draining worker leaves must be counted from the first update that
+// names it. Counted again from each update, it moved on by up to a heartbeat, and runs
+// were evacuated too late.
+func TestLeaveTimeIsNotMovedByRepeatedUpdates(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.infos[0].Draining, r.infos[0].LeavesInMS = true, 2000
+	r.s.SetWorkers(r.infos)
+	leaves := r.s.workers["w00"].leavesAt
+	assert.Equal(t, leaves, r.now+2000)
+	r.advance(900)
+	r.s.SetWorkers(r.infos) // another worker has changed
+	assert.Equal(t, r.s.workers["w00"].leavesAt, leaves)
+	r.advance(600)
+	r.infos[0].LeavesInMS = 1500 // told anew: the worker stays longer
+	r.s.SetWorkers(r.infos)
+	assert.Equal(t, r.s.workers["w00"].leavesAt, r.now+1500)
+}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -22,13 +22,14 @@
 		if info.Draining && !w.Draining {
 			s.emit(LogEvent{Event: EventWorkerDraining, Worker: info.ID, AgeMS: info.LeavesInMS})
 		}
+		news := info.LeavesInMS != w.LeavesInMS
 		w.WorkerInfo = info
 		w.registered = true
 		if w.rosterSeq == notInRoster && !w.Draining {
 			w.rosterSeq = unwritten
 			s.rosterDirty = true
 		}
-		s.updateLeaveTime(w)
+		s.updateLeaveTime(w, news)
 	}
 	for id, w := range s.workers {
 		w.registered = registered[id]
--- a/internal/cell/permits.go
+++ b/internal/cell/permits.go
@@ -201,10 +201,9 @@
 			kept = append(kept, st)
 			continue
 		}
-		workers := st.permits.callWorkers[:min(len(st.permits.callWorkers), maxCallWorkers)]
 		s.callers[name].calls[st.name()] = long
 		st.permits.sentAt = s.now
-		s.emit(RequestPermits{Caller: name, Step: st.name(), Workers: workers})
+		s.emit(RequestPermits{Caller: name, Step: st.name(), Workers: st.permits.namedWorkers()})
 	}
 	clear(s.callQueue[len(kept):])
 	s.callQueue = kept
@@ -221,7 +220,12 @@
 func (c *PolicyCost) isLong(n int) bool { return c != nil && c.Duration(n) >= longCallMS }
 
 // isLongCall reports whether the step's waiting call is a long call.
-func (s *step) isLongCall() bool { return s.job.Queue.Policy.isLong(len(s.permits.callWorkers)) }
+func (s *step) isLongCall() bool { return s.job.Queue.Policy.isLong(len(s.permits.namedWorkers())) }
+
+// namedWorkers returns the workers that the waiting call will name.
+func (p *permits) namedWorkers() []string {
+	return p.callWorkers[:min(len(p.callWorkers), maxCallWorkers)]
+}
 
 // longCalls returns the number of callers with a long call in flight.
 func (s *Scheduler) longCalls() int {
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -1,5 +1,10 @@
 package cell
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Restore loads the records that earlier holders wrote. It must be called before any
 // other event except Tick. Records that cannot be decoded are skipped and their errors
 // are returned.
@@ -18,6 +23,8 @@
 	for _, r := range progress {
 		skipped = appendError(skipped, s.restoreProgress(r))
 	}
+	// dropEndedJobs expects them in the order of their ends.
+	slices.SortFunc(s.endedJobs, func(a, b *job) int { return cmp.Compare(a.endedUnixMS, b.endedUnixMS) })
 	for _, j := range s.jobs {
 		if j.final == "" {
 			s.resumeJob(j)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -230,7 +230,7 @@
 	// all workers in the same ms asks about the new one too.
 	newWorkerAt   Instant
 	callQueue     []*step // steps waiting for a call to the policy service
-	endedJobs     []*job  // in order of their end; restored ones first, in record order
+	endedJobs     []*job  // in order of their end
 	scheduledJobs []*job  // jobs with future occurrences
 }
 
