Order maintenance only with authority, and bound planned stops

Cause: a holder whose VM had been suspended could still order the maintenance of a VM, and a new holder could do so while the one before might; the platform need not check fencing tokens there (enforceFencing false). A new holder also drained and ordered again what its predecessor had done, which stops the tasks that run there since. Change: an order needs authority, and a new holder waits for authorityPeriod; the VMs that are done are in the wave's record. Ruled out: asking the platform first, since a call that is "already done" cannot be told from one that begins. Measured: TestMaintenanceNeedsAuthority and TestNewHolderContinuesWave fail before and pass after.

Planned stop. Cause: HandOver waited 1.5 s for each release beyond its limit. A release keeps the cause of a term that is already over.

Not a fault: a report of a silent log that outlives its link; the follower reads the claim for 0.6 s before it acts on it.

--- a/internal/entry/maintenance.go
+++ b/internal/entry/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -78,6 +79,9 @@
 // of them together.
 type waveProgress struct {
 	CellsDone int `cbor:"1,keyasint"`
+	// VMsDone are the VMs whose maintenance the current cell has begun. A new holder
+	// must not drain them again, which would stop the tasks that run there since.
+	VMsDone []string `cbor:"2,keyasint,omitempty"`
 }
 
 // waveRun is the state of a wave at one holder.
@@ -125,6 +129,9 @@
 	if progress.CellsDone < h.agent.cell {
 		return false, nil // it is another cell's turn
 	}
+	for _, vm := range progress.VMsDone {
+		run.done[vm] = true
+	}
 	if h.agent.cell == 0 && !run.reported {
 		if err := h.node.platform.Maintenance.Report(ctx, run.Number, false); err != nil {
 			return false, err
@@ -149,9 +156,11 @@
 		}
 	}
 	h.logger.Info("wave_turn_done", zap.Int64("wave", wave))
-	_, err := h.node.platform.Log.Append(ctx, Append{Topic: topicWaves, Records: []cell.Record{{
-		Key: waveKey(wave), Value: mustMarshal(waveProgress{CellsDone: h.agent.cell + 1}),
-	}}})
+	return h.writeProgress(ctx, wave, waveProgress{CellsDone: h.agent.cell + 1})
+}
+
+func (h *holder) writeProgress(ctx context.Context, wave int64, p waveProgress) error {
+	_, err := h.node.platform.Log.Append(ctx, Append{Topic: topicWaves, Records: []cell.Record{{Key: waveKey(wave), Value: mustMarshal(p)}}})
 	return err
 }
 
@@ -233,14 +242,28 @@
 	}
 }
 
+// mayOrderMaintenance reports whether the holder may order the maintenance of a VM. The
+// platform need not check fencing tokens there, so a holder without authority, such as
+// one whose VM was suspended, must not send orders, and a new one waits until an earlier
+// holder has no authority left.
+func (h *holder) mayOrderMaintenance() bool {
+	return h.hasAuthority() && (h.claim.Term <= 1 || time.Since(h.startedAt) >= authorityPeriod)
+}
+
 // takeDown orders the maintenance of a VM and reports whether the VM is now down.
 func (h *holder) takeDown(ctx context.Context, run *waveRun, vm VM) bool {
+	if !h.mayOrderMaintenance() {
+		return false
+	}
 	outcome := h.node.platform.Maintenance.Begin(ctx, vm.ID, run.Number, h.node.cfg.Name, h.claim.Token)
 	h.logger.Info("machine_upkeep", zap.Int64("wave", run.Number), zap.String("machine", vm.ID), zap.Int("outcome", int(outcome)))
 	switch outcome {
 	case MaintenanceBegun, MaintenanceNotInWave:
 		run.done[vm.ID] = true
 		delete(run.draining, vm.ID)
+		if err := h.writeProgress(ctx, run.Number, waveProgress{CellsDone: h.agent.cell, VMsDone: slices.Sorted(maps.Keys(run.done))}); err != nil {
+			h.logger.Warn("wave_progress_not_stored", zap.Int64("wave", run.Number), zap.String("machine", vm.ID), zap.Error(err))
+		}
 		h.post(func(s *cell.Scheduler) { s.Undrain(vm.Worker) })
 		return outcome == MaintenanceBegun
 	case MaintenanceFenced:
--- a/internal/entry/maintenance_test.go
+++ b/internal/entry/maintenance_test.go
@@ -21,6 +21,28 @@
 	ends      map[string]time.Time // end of the maintenance, by VM
 	maxDown   int                  // maximum number of VMs down at the same time
 	completed bool
+	orders    map[string]int // orders received, by VM
+}
+
+// newFakeMaintenance returns a service with a wave of n VMs, of which two may be down.
+func newFakeMaintenance(n int, duration time.Duration) *fakeMaintenance {
+	m := &fakeMaintenance{duration: duration, ends: map[string]time.Time{}, orders: map[string]int{}, wave: Wave{Number: 1, MaxDown: 2, Duration: 30 * time.Second}}
+	for i := range n {
+		m.wave.VMs = append(m.wave.VMs, fmt.Sprintf("m%d", i))
+	}
+	return m
+}
+
+// startMaintainedNode starts a process that carries out the waves of m.
+func startMaintainedNode(t *testing.T, name string, log *fakeLog, fleet *fakeFleet, m *fakeMaintenance) *Node {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	n := NewNode(Config{Name: name, Incarnation: name, LinkAddress: ln.Addr().String(), Cells: 1, LeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3},
+		Platform{Log: log, Registry: fleet, Controller: fleet, Policy: fleet, Maintenance: m})
+	n.Start(ln)
+	t.Cleanup(n.Close)
+	return n
 }
 
 func (m *fakeMaintenance) Waves() []Wave { return []Wave{m.wave} }
@@ -43,6 +65,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.ends[vm] = time.Now().Add(m.duration)
+	m.orders[vm]++
 	down := 0
 	for _, end := range m.ends {
 		if time.Now().Before(end) {
@@ -75,20 +98,66 @@
 		duration = 300 * time.Millisecond
 		round    = duration + 350*time.Millisecond // from one VM down to the next
 	)
-	m := &fakeMaintenance{duration: duration, ends: map[string]time.Time{}, wave: Wave{Number: 1, MaxDown: 2, Duration: 30 * time.Second}}
-	for i := range vms {
-		m.wave.VMs = append(m.wave.VMs, fmt.Sprintf("m%d", i))
-	}
-	log, fleet := newFakeLog(), newFakeFleet(vms)
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	n := NewNode(Config{Name: "a", Incarnation: "1", LinkAddress: ln.Addr().String(), Cells: 1, LeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3},
-		Platform{Log: log, Registry: fleet, Controller: fleet, Policy: fleet, Maintenance: m})
-	n.Start(ln)
-	t.Cleanup(n.Close)
+	m := newFakeMaintenance(vms, duration)
+	startMaintainedNode(t, "a", newFakeLog(), newFakeFleet(vms), m)
 	start := time.Now()
 	eventually(t, "a completed wave", m.isCompleted)
 	assert.Equal(t, m.maxDown, 2)
 	limit := time.Duration(vms/m.wave.MaxDown+1) * round
 	assert.Assert(t, time.Since(start) < limit, "the wave took %v of at most %v", time.Since(start), limit)
 }
+
+// ordered returns the number of VMs that have received an order.
+func (m *fakeMaintenance) ordered() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.orders)
+}
+
+// A new holder must not take down a VM again whose maintenance the one before began: it
+// would stop the tasks that run there since.
+func TestNewHolderContinuesWave(t *testing.T) {
+	const vms = 8
+	m := newFakeMaintenance(vms, 300*time.Millisecond)
+	log, fleet := newFakeLog(), newFakeFleet(vms)
+	first := startMaintainedNode(t, "a", log, fleet, m)
+	eventually(t, "the first VMs", func() bool { return m.ordered() >= 3 })
+	first.Close()
+	startMaintainedNode(t, "b", log, fleet, m)
+	eventually(t, "a completed wave", m.isCompleted)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for vm, n := range m.orders {
+		assert.Equal(t, n, 1, "orders for %s", vm)
+	}
+	assert.Equal(t, len(m.orders), vms)
+}
+
+// A holder that was paused must not order maintenance after its authority has run out,
+// and a new one must not while the one before may still send orders. The platform does
+// not check fencing tokens everywhere.
+func TestMaintenanceNeedsAuthority(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		term      uint32
+		confirmed time.Duration // since the claim was last confirmed
+		started   time.Duration // since the term began
+		want      bool
+	}{
+		{"first holder", 1, 0, 0, true},
+		{"paused for longer than its authority", 1, authorityPeriod, time.Minute, false},
+		{"new holder", 2, 0, 0, false},
+		{"new holder, after the authority of the one before", 2, 0, authorityPeriod, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			m := newFakeMaintenance(1, time.Second)
+			n := NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{Maintenance: m, Log: newFakeLog()})
+			h := newHolder(newAgent(n, 0), claim{Term: test.term, Token: 5}, authorityPeriod)
+			h.confirmedAt -= test.confirmed
+			h.startedAt = h.startedAt.Add(-test.started)
+			run := &waveRun{Wave: m.wave, done: map[string]bool{}, draining: map[string]time.Time{}}
+			assert.Equal(t, h.takeDown(t.Context(), run, VM{ID: "m0", Worker: "w0"}), test.want)
+			assert.Equal(t, m.ordered() == 1, test.want)
+		})
+	}
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -108,7 +108,7 @@
 	n.stopping.Store(true)
 	start := time.Now()
 	for time.Since(start) < latest {
-		held := n.releaseCells(time.Since(start) > latest/2)
+		held := n.releaseCells(time.Since(start) > latest/2, latest-time.Since(start))
 		if time.Since(start) >= notice && n.requests.Load() == 0 && held == 0 {
 			return
 		}
@@ -119,14 +119,16 @@
 
 // releaseCells releases the cells that this process holds. While the log is silent no
 // other process could claim a cell, so it keeps the cell unless force is set. It
-// returns the number of cells that it keeps.
-func (n *Node) releaseCells(force bool) (held int) {
+// returns the number of cells that it keeps. It waits at most for limit.
+func (n *Node) releaseCells(force bool, limit time.Duration) (held int) {
+	var releases conc.WaitGroup
+	defer releases.Wait()
 	for _, a := range n.agents() {
 		h, _, _ := a.route()
 		switch {
 		case h == nil:
 		case force || !h.isLogSilent():
-			h.release(causeReleased)
+			releases.Go(func() { h.releaseWithin(causeReleased, min(limit, releaseTimeout)) })
 		default:
 			held++
 		}
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -132,18 +132,23 @@
 
 // release hands the cell over: it waits for outstanding records to be stored and then
 // releases the claim. It returns when the term has ended, or after releaseTimeout.
-func (h *holder) release(cause string) {
+func (h *holder) release(cause string) { h.releaseWithin(cause, releaseTimeout) }
+
+// releaseWithin is like release with another limit.
+func (h *holder) releaseWithin(cause string, limit time.Duration) {
 	h.mu.Lock()
 	select {
 	case <-h.releasing:
 	default:
-		h.cause = cause
+		if h.cause == "" {
+			h.cause = cause
+		}
 		close(h.releasing)
 	}
 	h.mu.Unlock()
 	select {
 	case <-h.released:
-	case <-time.After(releaseTimeout):
+	case <-time.After(limit):
 		h.logger.Warn("release_timeout")
 		h.cancel()
 	}
--- a/internal/entry/term_test.go
+++ b/internal/entry/term_test.go
@@ -38,3 +38,15 @@
 	}
 	t.Fatal("an accepted job is not in the log")
 }
+
+// A planned stop must not take longer than the platform allows because a release does
+// not end: the requests in progress would be cut off.
+func TestHandOverKeepsItsLimit(t *testing.T) {
+	log, fleet := newFakeLog(), newFakeFleet(1)
+	n := startNode(t, "a", log, fleet)
+	eventually(t, "a holder", n.holds)
+	log.setOutage(topicClaims, 0, silent)
+	start := time.Now()
+	n.HandOver(100*time.Millisecond, 600*time.Millisecond)
+	assert.Assert(t, time.Since(start) < time.Second, "the handover took %v", time.Since(start))
+}
