Close lanes that a renewal leaves out, notice slow holders, bound leases

Found by reading for it: a request for a lane can time out before its renewal is confirmed; the lane then counts as open while the next renewal, without it, is on its way. The writer may change to it at once; if the holder ends after that renewal is stored, its successor does not read the lane. Change: a lane that a claim leaves out is closed when the claim is made up. TestLaneIsClosedByRenewalWithoutIt fails before.

Events waited up to 0.69 s, but each prompt one ended the measurement. Change: time without lag counts half, one event counts 200 ms at most (TestLagMeter).

Change: leases of at most 6 s, which is what the order desks have (maxHoldMs 10 s elsewhere) (TestLeaseIsBounded).

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -25,7 +25,8 @@
 	// CPUShare is this process's share of a CPU core; 0 if unknown. Processes with a
 	// larger share are preferred as holders.
 	CPUShare float64
-	// LeaseMS is the maximum lease of a worker, in ms.
+	// LeaseMS is the maximum lease of a worker, in ms. The process uses at most
+	// maxLeaseMS.
 	LeaseMS int64
 	// KeepEndedMS is how long the state of an ended job is kept, in ms.
 	KeepEndedMS int64
@@ -37,6 +38,11 @@
 	Metrics          metrics.Registry
 }
 
+// maxLeaseMS is the longest lease that a holder gives, in ms. Tasks of a worker that is
+// gone, and after a takeover all restored tasks, wait until its lease has expired. The
+// lease must outlast a restart of all processes, which takes up to 4 s.
+const maxLeaseMS = 6000
+
 // Topics of the log.
 const (
 	topicLayout = "fulmarlatch-layout"
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -41,7 +41,7 @@
 	waiters        []waiter
 	pendingAccepts []pendingAccept
 	stored         uint64
-	laggingSince   time.Time     // when events began to wait longer than lagLimit; zero if they do not
+	lag            lagMeter
 	longestWait    time.Duration // of an event, since the last summary
 	passes         int           // since the last summary
 	nextPassAt     time.Time     // zero if the next pass may begin now
@@ -253,27 +253,44 @@
 	}
 }
 
-// If events have waited longer than lagLimit for maxLagDuration, the VM is too slow and
-// the holder releases the cell.
+// If events wait longer than lagLimit for more than maxLagDuration, the VM is too slow
+// and the holder releases the cell.
 const (
 	lagLimit       = 120 * time.Millisecond
 	maxLagDuration = 600 * time.Millisecond
+	// maxLagStep is the most that one event counts, so that a single pause of the process
+	// is no reason to release the cell.
+	maxLagStep = 200 * time.Millisecond
 )
 
+// lagMeter measures for how long events have waited too long. Time without lag counts
+// half as much as time with lag: on a VM that is too slow, some events still wait little.
+type lagMeter struct {
+	checkedAt time.Time
+	lagging   time.Duration
+}
+
+// check records that an event has waited for the given time, and reports whether the
+// lag has lasted too long.
+func (m *lagMeter) check(now time.Time, waited time.Duration) bool {
+	passed := min(now.Sub(m.checkedAt), maxLagStep)
+	m.checkedAt = now
+	if waited >= lagLimit {
+		m.lagging += passed
+	} else {
+		m.lagging = max(m.lagging-passed/2, 0)
+	}
+	return m.lagging > maxLagDuration
+}
+
 // checkLag releases the cell if events have waited too long and a follower is linked.
 func (h *holder) checkLag(posted time.Time) {
 	now := time.Now()
-	h.longestWait = max(h.longestWait, now.Sub(posted))
-	if now.Sub(posted) < lagLimit {
-		h.laggingSince = time.Time{}
-		return
-	}
-	if h.laggingSince.IsZero() {
-		h.laggingSince = now
-	}
-	if now.Sub(h.laggingSince) > maxLagDuration && len(h.followerLinks()) > 0 {
-		h.logger.Warn("holder_too_slow", zap.Duration("lag", now.Sub(posted)), zap.Int("events", len(h.events)))
-		h.laggingSince = now
+	waited := now.Sub(posted)
+	h.longestWait = max(h.longestWait, waited)
+	if h.lag.check(now, waited) && len(h.followerLinks()) > 0 {
+		h.logger.Warn("holder_too_slow", zap.Duration("lag", waited), zap.Int("events", len(h.events)))
+		h.lag.lagging = 0
 		h.node.spawn(func() { h.release(causeSlow) })
 	}
 }
--- a/internal/entry/lanechange.go
+++ b/internal/entry/lanechange.go
@@ -54,14 +54,18 @@
 	}
 }
 
-// requiredLanes returns the lanes that the claim must list.
-func (w *recordWriter) requiredLanes() laneSet {
+// lanesToClaim returns the lanes that the next claim must list. From then on, the writer
+// does not change to any other lane: the claim may be stored without it at any time, and
+// a new holder would not read the records there.
+func (w *recordWriter) lanesToClaim() laneSet {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.index == nil {
 		return w.open
 	}
-	return w.index.used().with(w.lane) | w.requested
+	lanes := w.index.used().with(w.lane) | w.requested
+	w.open &= lanes
+	return lanes
 }
 
 // setIndex sets the index of the lanes. It must be called before records are added.
--- a/internal/entry/lanes_test.go
+++ b/internal/entry/lanes_test.go
@@ -106,7 +106,27 @@
 	assert.Equal(t, w.sweepBatches()[1][0].Key, "k")
 	w.indexStored(1, []cell.Record{{Key: "k"}})
 	assert.Equal(t, len(w.sweepBatches()), 0)
-	assert.Equal(t, w.requiredLanes(), laneSet(0).with(1))
+	assert.Equal(t, w.lanesToClaim(), laneSet(0).with(1))
+}
+
+// A writer must not change to a lane that an earlier claim listed while a renewal without
+// that lane is on its way. If the holder ended after the renewal was stored, the next one
+// would not read the lane: acknowledged records are lost, and tasks that are done run
+// again.
+func TestLaneIsClosedByRenewalWithoutIt(t *testing.T) {
+	w := newRecordWriter(newFakeLog(), 0, 0, 1, zap.NewNop())
+	w.setIndex(laneIndex{"k": firstLane})
+	w.setOpen(firstLane.with(1)) // requested before, and confirmed after the request had timed out
+	sent := w.lanesToClaim()
+	assert.Equal(t, sent, firstLane)
+	assert.Assert(t, !w.changeLane(within(2*openTimeout)), "changed to a lane that the renewal does not list")
+	assert.Equal(t, w.lane, 0)
+
+	// Once a renewal with the lane is confirmed, the writer changes to it.
+	w.renewClaim = func() { w.setOpen(w.lanesToClaim()) }
+	assert.Assert(t, w.changeLane(within(2*openTimeout)))
+	assert.Equal(t, w.lane, 1)
+	assert.Equal(t, w.lanesToClaim(), firstLane.with(1))
 }
 
 // Jobs must not be refused while the log is slow but answers: a job that is accepted a
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -64,7 +64,7 @@
 		case <-h.renewEarly:
 		}
 		next.Renewals++
-		next.Lanes = h.writer.requiredLanes()
+		next.Lanes = h.writer.lanesToClaim()
 		sent := clock.SinceBoot()
 		newEnd, err := h.agent.claims.append(h.ctx, next, end)
 		if err == nil {
@@ -170,7 +170,7 @@
 			return
 		}
 	}
-	if _, err := h.agent.claims.append(h.ctx, claim{Term: h.claim.Term, Lanes: h.writer.requiredLanes(), BestCPUMilli: h.claim.BestCPUMilli}, end); err != nil {
+	if _, err := h.agent.claims.append(h.ctx, claim{Term: h.claim.Term, Lanes: h.writer.lanesToClaim(), BestCPUMilli: h.claim.BestCPUMilli}, end); err != nil {
 		h.logger.Warn("release_failed", zap.Error(err))
 	}
 	h.broadcast(kindRelease)
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -57,7 +57,7 @@
 	// append that was sent at the given time since boot.
 	claimsRespond func(sent time.Duration) bool
 	// renewClaim requests a renewal of the claim, so that it lists the lanes that
-	// requiredLanes returns.
+	// lanesToClaim returns.
 	renewClaim func()
 
 	mu      sync.Mutex
