--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -10,6 +10,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -63,7 +64,7 @@
 // lifetime of the job are reported with it.
 var contextEvents = map[string]bool{
 	"log_lost": true, "log_regained": true, "claim_made": true, "holder_lost": true, "holder_ended": true,
-	"holder_too_slow": true, "holder_without_log": true, "stopping": true,
+	"holder_too_slow": true, "holder_yields": true, "panic": true, "holder_without_log": true, "stopping": true,
 }
 
 // report merges the lines in order of time and determines the cause.
@@ -89,6 +90,7 @@
 	count := map[string]int{}
 	var lastRefusal, lastFailure, lateDetail string
 	var longestWait, longestWaitMS = "", int64(0)
+	withdrawn := false // refused after it was submitted, because its record was not sent
 	for _, l := range lines {
 		event := l.Fields["event"]
 		count[event]++
@@ -104,22 +106,28 @@
 				lateDetail = fmt.Sprintf("step %s waited %d ms for capacity or permits", l.Fields["task"], age)
 			}
 		}
-		if event == "request_refused" || event == "request_unanswered" {
+		switch event {
+		case string(cell.EventJobAccepted):
+			withdrawn = false
+		case "request_refused":
+			withdrawn, lastRefusal = true, l.Fields["error"]
+		case "request_unanswered":
 			lastRefusal = l.Fields["error"]
 		}
 	}
 	meanwhile := ""
-	for event := range contextEvents {
+	for _, event := range slices.Sorted(maps.Keys(contextEvents)) {
 		if count[event] > 0 {
 			meanwhile += fmt.Sprintf("; meanwhile %s (%d)", event, count[event])
 		}
 	}
+	placed := count[string(cell.EventStepPlaced)] + count[string(cell.EventStepPlacedLate)]
 	switch {
 	case count[string(cell.EventJobFailed)] > 0:
 		return "failed: " + lastFailure + ", which exhausted the attempts that the queue allows"
 	case count[string(cell.EventJobCancelled)] > 0:
 		return "cancelled by its caller"
-	case lastRefusal != "" && count[string(cell.EventJobAccepted)] == 0:
+	case lastRefusal != "" && (count[string(cell.EventJobAccepted)] == 0 || withdrawn && placed == 0):
 		return "not accepted: " + lastRefusal + meanwhile
 	case lateDetail != "":
 		return "placed late: " + lateDetail + meanwhile
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -19,6 +19,9 @@
 		{"failed", "ts=2 level=warn event=run_failed job=" + id + " task=" + id + ".0.0.1 run=2 worker=w1 age_ms=2\nts=3 event=job_failed job=" + id, "ts=1 event=job_taken job=" + id, "failed: run 2 of " + id + ".0.0.1 failed on worker w1", 3},
 		{"refused", `12.3 edge-1 ts=1 event=request_refused job=` + id + ` error="log_unavailable: the log has not responded for 1200 ms (send the job again after the retry delay)"`, "ts=2 event=job_taken job=other", "not accepted: log_unavailable: the log has not responded for 1200 ms (send the job again after the retry delay)", 1},
 		{"late", "ts=1 event=job_taken job=" + id + "\nts=5 event=step_placed_late job=" + id + " task=" + id + ".0.0 age_ms=4000\nts=6 event=job_completed job=" + id, "ts=2 event=log_lost cell=0\nts=9 event=log_lost cell=0", "placed late: step " + id + ".0.0 waited 4000 ms for capacity or permits; meanwhile log_lost (1)", 4},
+		{"withdrawn", "ts=1 event=job_taken job=" + id + "\nts=2 event=request_refused job=" + id + " error=log_unavailable", "ts=3 event=request_refused job=" + id + " error=log_unavailable", "not accepted: log_unavailable", 3},
+		{"accepted in the end", "ts=1 event=job_taken job=" + id + "\nts=2 event=request_refused job=" + id + " error=log_unavailable\nts=3 event=job_taken job=" + id, "ts=4 event=job_completed job=" + id, "completed", 4},
+		{"order of events", "ts=1 event=job_taken job=" + id + "\nts=9 event=job_completed job=" + id, "ts=2 event=stopping\nts=3 event=claim_made\nts=4 event=log_lost", "completed; meanwhile claim_made (1); meanwhile log_lost (1); meanwhile stopping (1)", 5},
 		{"unknown", "ts=1 event=job_taken job=other", "no pairs here", "no log line mentions the job", 0},
 	} {
 		r, err := Read(id, strings.NewReader(test.a), strings.NewReader(test.b))
