Keep the authority of an earlier holder in mind over an early release

Cause, found by reading the change: a holder that took over and released the cell within 3 s (a small VM that yields does so after 0.2 s) left a claim without a holder, and the next one then waited for one lease only. The holder before both may have lost the log alone and may renew leases for 3 s; a task could have started while it still ran on a worker that only that holder reached.

Change: such a release is marked in the claim, and the next holder waits as after a takeover. Ruled out: waiting in every case, which costs 3 s after each planned stop.

--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -181,11 +181,7 @@
 	next.Token = newEnd
 	a.logger.Info("claim_made", zap.Int64("token", newEnd), zap.Uint32("term", next.Term), zap.String("old_holder", old.Holder),
 		zap.Duration("unchanged", time.Since(a.watch.since)))
-	priorAuthority := authorityPeriod
-	if old.Holder == "" {
-		priorAuthority = 0 // the previous holder has released the cell
-	}
-	a.hold(ctx, next, newEnd, priorAuthority)
+	a.hold(ctx, next, newEnd, old.priorAuthority())
 }
 
 // hold runs the holder until it loses the cell. For up to priorAuthority, an earlier
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -29,10 +29,22 @@
 	// BestCPUMilli is the largest CPU share of a process that has held the cell, in
 	// thousandths of a core.
 	BestCPUMilli uint64 `cbor:"8,keyasint,omitempty"`
+	// EarlyRelease is set in the release of a term that was shorter than authorityPeriod:
+	// a holder before it may still renew leases.
+	EarlyRelease bool `cbor:"9,keyasint,omitempty"`
 }
 
 const claimKey = "holder"
 
+// priorAuthority returns how long the holder of this claim, or one before it, may still
+// renew leases of workers after it is superseded.
+func (c claim) priorAuthority() time.Duration {
+	if c.Holder == "" && !c.EarlyRelease {
+		return 0 // the holder has released the cell, and there was no other
+	}
+	return authorityPeriod
+}
+
 // claimLog reads and appends the claims of one cell.
 type claimLog struct {
 	log       Log
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -170,9 +170,17 @@
 			return
 		}
 	}
-	if _, err := h.agent.claims.append(h.ctx, claim{Term: h.claim.Term, Lanes: h.writer.lanesToClaim(), BestCPUMilli: h.claim.BestCPUMilli}, end); err != nil {
+	if _, err := h.agent.claims.append(h.ctx, h.releasedClaim(), end); err != nil {
 		h.logger.Warn("release_failed", zap.Error(err))
 	}
 	h.broadcast(kindRelease)
 	h.endTerm(causeReleased)
 }
+
+// releasedClaim returns the claim without a holder that releases the cell.
+func (h *holder) releasedClaim() claim {
+	return claim{
+		Term: h.claim.Term, Lanes: h.writer.lanesToClaim(), BestCPUMilli: h.claim.BestCPUMilli,
+		EarlyRelease: h.priorAuthority > 0 && time.Since(h.startedAt) < authorityPeriod,
+	}
+}
--- a/internal/entry/term_test.go
+++ b/internal/entry/term_test.go
@@ -50,3 +50,28 @@
 	n.HandOver(100*time.Millisecond, 600*time.Millisecond)
 	assert.Assert(t, time.Since(start) < time.Second, "the handover took %v", time.Since(start))
 }
+
+// A holder that takes over and releases the cell soon after, as a small VM does, must not
+// hide the holder before it: that one may renew leases for authorityPeriod, and a next
+// holder that did not wait for it could start a task that still runs.
+func TestEarlyReleaseKeepsPriorAuthority(t *testing.T) {
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{}), 0)
+	for _, test := range []struct {
+		name  string
+		prior time.Duration // of the term that is released
+		held  time.Duration
+		want  time.Duration
+	}{
+		{"soon after a takeover", authorityPeriod, time.Second, authorityPeriod},
+		{"long after a takeover", authorityPeriod, authorityPeriod, 0},
+		{"soon after a release", 0, time.Second, 0},
+	} {
+		h := newHolder(a, claim{Holder: "a", Term: 2}, test.prior)
+		h.startedAt = h.startedAt.Add(-test.held)
+		released := h.releasedClaim()
+		assert.Equal(t, released.Holder, "")
+		assert.Equal(t, released.priorAuthority(), test.want, test.name)
+	}
+	assert.Equal(t, claim{}.priorAuthority(), time.Duration(0))
+	assert.Equal(t, claim{Holder: "b"}.priorAuthority(), authorityPeriod)
+}
