--- a/internal/entry/speed.go
+++ b/internal/entry/speed.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -20,44 +21,45 @@
 	// probeCount is the number of measurements of which the fastest counts. Single ones
 	// are longer when the process is interrupted.
 	probeCount = 3
+	// probeHistory is the number of measurements with which the newest are compared, by
+	// their lower quartile. It covers 13 s, of which a VM may be slow for 9 s.
+	probeHistory = 128
 	// minSlowdown is the factor from which on a VM counts as slow. Clock rates of
 	// processors vary by less.
 	minSlowdown = 2
 )
 
-// speedMeter tells how much slower the VM works than at its best. It is safe for
-// concurrent use.
+// speedMeter tells how much slower the VM works than usual. It is safe for concurrent
+// use.
 type speedMeter struct {
-	mu     sync.Mutex
-	best   time.Duration             // of all measurements
-	recent [probeCount]time.Duration // a ring of the newest ones; 0 if there are fewer
-	next   int
+	mu      sync.Mutex
+	history []time.Duration // up to probeHistory measurements, oldest first
+	factor  float64         // see slowdown; 0 before the first measurement
 }
 
 // add records how long a measurement took.
 func (m *speedMeter) add(took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.best == 0 || took < m.best {
-		m.best = took
+	if len(m.history) == probeHistory {
+		m.history = slices.Delete(m.history, 0, 1)
+	}
+	m.history = append(m.history, took)
+	m.factor = 1
+	sorted := slices.Sorted(slices.Values(m.history))
+	usual := sorted[len(sorted)/4]
+	fastest := slices.Min(m.history[max(len(m.history)-probeCount, 0):])
+	if usual > 0 && fastest >= minSlowdown*usual {
+		m.factor = float64(fastest) / float64(usual)
 	}
-	m.recent[m.next] = took
-	m.next = (m.next + 1) % probeCount
 }
 
-// slowdown returns the factor by which the VM is slower than at its best, or 1 if it is
-// less than minSlowdown or not known yet.
+// slowdown returns the factor by which the VM is slower than usual, or 1 if it is less
+// than minSlowdown or not known yet.
 func (m *speedMeter) slowdown() float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	fastest := m.recent[0]
-	for _, took := range m.recent {
-		fastest = min(fastest, took)
-	}
-	if fastest == 0 || fastest < minSlowdown*m.best {
-		return 1
-	}
-	return float64(fastest) / float64(m.best)
+	return max(m.factor, 1)
 }
 
 // probeSpeed measures the VM's speed until the process stops, and logs when it changes
