Let wide gangs ask the policy service through several idle callers at once

Cause: a step had one call of 100 workers in flight at a time. For the menu plans of the large site such a call takes 1.5 s and allows 25 workers, on which 20 tasks of 18 cores find room late, while more than half of the 97 callers are idle.

Change: a request is split into calls of 100 workers. The first is always made, the others while half of the callers stay idle. Each call has its own record, so a step may have several in flight.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -15,7 +15,7 @@
 // asks about workers that the step has not asked about yet, or else renews expired
 // permits of workers with enough free capacity.
 func (s *Scheduler) requestMorePermits(st *step, fitsWithoutPermit bool) {
-	if st.job.Queue.Policy == nil || st.permits.pending {
+	if st.job.Queue.Policy == nil || st.permits.pending() {
 		return
 	}
 	switch {
@@ -39,7 +39,7 @@
 	long := st.job.Queue.Policy.isLong(len(st.tasks))
 	waiting := 0
 	for _, other := range s.callQueue {
-		if other.isLongCall() == long {
+		if other.isLong() == long {
 			waiting++
 		}
 	}
@@ -58,10 +58,9 @@
 // reports whether there are any.
 func (s *Scheduler) requestUnasked(st *step) bool {
 	found := s.unaskedWorkers(st, 0)
-	if len(found) <= maxCallWorkers {
+	if named := s.requestPermits(st, workerIDs(found)); named == len(found) {
 		st.permits.allAskedAt = s.now
 	}
-	s.requestPermits(st, workerIDs(found))
 	return len(found) > 0
 }
 
--- a/internal/cell/dump.go
+++ b/internal/cell/dump.go
@@ -114,7 +114,7 @@
 func (s *Scheduler) dumpStep(st *step) StepDump {
 	d := StepDump{
 		Step: st.name(), Queue: st.job.Queue.Name, Tasks: len(st.tasks), Done: st.done,
-		LatestMS: int64(st.latestStart - s.now), Allowed: len(st.permits.allowed), Asking: st.permits.pending,
+		LatestMS: int64(st.latestStart - s.now), Allowed: len(st.permits.allowed), Asking: st.permits.pending(),
 	}
 	for _, t := range st.tasks {
 		if len(t.attempts) > 0 {
--- a/internal/cell/ends_test.go
+++ b/internal/cell/ends_test.go
@@ -75,10 +75,16 @@
 // not need.
 func TestLongCallCountsNamedWorkers(t *testing.T) {
 	st := &step{job: &job{Job: &Job{Queue: Queue{Policy: &PolicyCost{DecisionMS: 100, PerWorkerMS: 1}}}}}
+	var workers []string
 	for n := range 350 {
-		st.permits.callWorkers = append(st.permits.callWorkers, fmt.Sprint(n))
+		workers = append(workers, fmt.Sprint(n))
 	}
-	assert.Assert(t, !st.isLongCall(), "a call of 200 ms counts as long")
+	s := New(Config{})
+	s.SetCallers([]string{"e1"})
+	s.requestPermits(st, workers)
+	assert.Equal(t, len(s.callQueue), 1)
+	assert.Equal(t, len(s.callQueue[0].workers), maxCallWorkers)
+	assert.Assert(t, !s.callQueue[0].isLong(), "a call of 200 ms counts as long")
 }
 
 // The time at which a draining worker leaves must be counted from the first update that
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -310,7 +310,7 @@
 // so that they are valid at its start.
 func (s *Scheduler) renewForGang(st *step, places []gangPlace) {
 	q := st.job.Queue.Policy
-	if q == nil || st.permits.pending || !s.mayRenew(st) {
+	if q == nil || st.permits.pending() || !s.mayRenew(st) {
 		return
 	}
 	call := Instant(q.Duration(len(places)))
--- a/internal/cell/permits.go
+++ b/internal/cell/permits.go
@@ -9,16 +9,27 @@
 // permits is what the policy service has answered for a step. The set of workers that
 // may run the step does not change; each permit expires and can be renewed.
 type permits struct {
-	answered    bool               // at least one call was answered
-	allAskedAt  Instant            // when the step last asked about all workers known at that time
-	nextWiden   Instant            // when the step may next search for unasked workers with free capacity
-	asked       map[string]bool    // workers named in answered calls
-	allowed     map[string]*permit // by worker ID
-	pending     bool               // a call is in flight or waits for a caller
-	sentAt      Instant            // when the call was sent
-	callWorkers []string           // workers of the waiting call
+	answered   bool               // at least one call was answered
+	allAskedAt Instant            // when the step last asked about all workers known at that time
+	nextWiden  Instant            // when the step may next search for unasked workers with free capacity
+	asked      map[string]bool    // workers named in answered calls
+	allowed    map[string]*permit // by worker ID
+	calls      int                // that are in flight or wait for a caller
 }
 
+// permitCall is a call to the policy service for a step.
+type permitCall struct {
+	step    *step
+	workers []string // that the call names, maxCallWorkers at most
+	sentAt  Instant
+}
+
+// isLong reports whether the call takes longCallMS or more.
+func (c *permitCall) isLong() bool { return c.step.job.Queue.Policy.isLong(len(c.workers)) }
+
+// pending reports whether a call for the step is in flight or waits for a caller.
+func (p *permits) pending() bool { return p.calls > 0 }
+
 type permit struct {
 	ticket      string
 	incarnation int64 // of the worker when the permit was issued
@@ -57,14 +68,14 @@
 type callers map[string]*caller
 
 type caller struct {
-	calls      map[string]bool // calls in flight by step name; true for a long call
-	avoidUntil Instant         // set after a call without a response
+	calls      map[string]*permitCall // calls in flight by step name
+	avoidUntil Instant                // set after a call without a response
 }
 
 // hasLongCall reports whether a long call is in flight.
 func (c *caller) hasLongCall() bool {
-	for _, long := range c.calls {
-		if long {
+	for _, call := range c.calls {
+		if call.isLong() {
 			return true
 		}
 	}
@@ -80,15 +91,15 @@
 func (s *Scheduler) SetCallers(names []string) {
 	for name, c := range s.callers {
 		if !slices.Contains(names, name) {
-			for step := range c.calls {
-				s.clearPendingCall(step)
+			for _, call := range c.calls {
+				call.step.permits.calls--
 			}
 			delete(s.callers, name)
 		}
 	}
 	for _, name := range names {
 		if s.callers[name] == nil {
-			s.callers[name] = &caller{calls: map[string]bool{}}
+			s.callers[name] = &caller{calls: map[string]*permitCall{}}
 		}
 	}
 }
@@ -106,8 +117,13 @@
 
 // PermitsReceived processes the result of a RequestPermits action.
 func (s *Scheduler) PermitsReceived(p PermitResult) {
+	took := Instant(0) // unknown if the caller has left meanwhile
 	if c := s.callers[p.Caller]; c != nil {
-		delete(c.calls, p.Step)
+		if call := c.calls[p.Step]; call != nil {
+			call.step.permits.calls--
+			took = s.now - call.sentAt
+			delete(c.calls, p.Step)
+		}
 		if p.Failed {
 			c.avoidUntil = s.now + callerPauseMS
 		}
@@ -116,14 +132,13 @@
 	if st == nil {
 		return
 	}
-	st.permits.pending = false
 	if p.Failed {
 		st.permits.allAskedAt = 0
-		s.emit(LogEvent{Event: EventPermitsFailed, Failed: true, Job: st.job.ID, Task: p.Step, Worker: p.Caller, AgeMS: int64(s.now - st.permits.sentAt)})
+		s.emit(LogEvent{Event: EventPermitsFailed, Failed: true, Job: st.job.ID, Task: p.Step, Worker: p.Caller, AgeMS: int64(took)})
 		return
 	}
 	s.emit(LogEvent{Event: EventPermitsGiven, Job: st.job.ID, Task: p.Step, Worker: p.Caller,
-		Detail: fmt.Sprintf("%d/%d", len(p.Tickets), len(p.Workers)), AgeMS: int64(s.now - st.permits.sentAt)})
+		Detail: fmt.Sprintf("%d/%d", len(p.Tickets), len(p.Workers)), AgeMS: int64(took)})
 	if st.permits.allowed == nil {
 		st.permits.allowed = map[string]*permit{}
 		st.permits.asked = map[string]bool{}
@@ -143,14 +158,6 @@
 	}
 }
 
-// clearPendingCall lets a step request permits again after the caller of its pending
-// call has left.
-func (s *Scheduler) clearPendingCall(name string) {
-	if st := s.stepByName(name); st != nil {
-		st.permits.pending = false
-	}
-}
-
 func (s *Scheduler) stepByName(name string) *step {
 	id, err := ParseTaskID(name + ".0")
 	if err != nil {
@@ -162,15 +169,33 @@
 	return nil
 }
 
-// requestPermits queues a call for permits on the given workers, unless the step
-// already has a call queued or in flight.
-func (s *Scheduler) requestPermits(st *step, workers []string) {
-	if st.permits.pending || len(workers) == 0 {
-		return
+// requestPermits queues calls for permits on the given workers, unless the step already
+// has a call queued or in flight. It returns the number of workers that the calls name:
+// there is one call, and more if they are needed and callers are idle.
+func (s *Scheduler) requestPermits(st *step, workers []string) (named int) {
+	if st.permits.pending() {
+		return 0
 	}
-	st.permits.pending = true
-	st.permits.callWorkers = workers
-	s.callQueue = append(s.callQueue, st)
+	left := workers
+	for more := s.idleCalls(); len(left) > 0 && (st.permits.calls == 0 || more > 0); more-- {
+		n := min(len(left), maxCallWorkers)
+		s.callQueue = append(s.callQueue, &permitCall{step: st, workers: left[:n]})
+		st.permits.calls++
+		left = left[n:]
+	}
+	return len(workers) - len(left)
+}
+
+// idleCalls returns how many further calls idle callers could make while half of all
+// callers stay idle.
+func (s *Scheduler) idleCalls() int {
+	idle := 0
+	for _, c := range s.callers {
+		if len(c.calls) == 0 {
+			idle++
+		}
+	}
+	return max(idle-len(s.callQueue)-len(s.callers)/2, 0)
 }
 
 // maxCallWorkers is the maximum number of workers that the policy service accepts in
@@ -183,27 +208,27 @@
 	if len(s.callQueue) == 0 {
 		return
 	}
-	slices.SortStableFunc(s.callQueue, func(a, b *step) int {
-		if d := cmp.Compare(a.lateness(s.now), b.lateness(s.now)); d != 0 {
+	slices.SortStableFunc(s.callQueue, func(a, b *permitCall) int {
+		if d := cmp.Compare(a.step.lateness(s.now), b.step.lateness(s.now)); d != 0 {
 			return d
 		}
-		return cmp.Compare(a.latestStart, b.latestStart)
+		return cmp.Compare(a.step.latestStart, b.step.latestStart)
 	})
 	kept := s.callQueue[:0]
-	for _, st := range s.callQueue {
+	for _, call := range s.callQueue {
+		st, long := call.step, call.isLong()
 		if st.job.final != "" || st.complete() {
-			st.permits.pending = false
+			st.permits.calls--
 			continue
 		}
-		long := st.isLongCall()
-		name := s.freeCaller(long)
+		name := s.freeCaller(st.name(), long)
 		if name == "" || long && s.longCalls() >= max(len(s.callers)*longCallPercent/100, 1) {
-			kept = append(kept, st)
+			kept = append(kept, call)
 			continue
 		}
-		s.callers[name].calls[st.name()] = long
-		st.permits.sentAt = s.now
-		s.emit(RequestPermits{Caller: name, Step: st.name(), Workers: st.permits.namedWorkers()})
+		s.callers[name].calls[st.name()] = call
+		call.sentAt = s.now
+		s.emit(RequestPermits{Caller: name, Step: st.name(), Workers: call.workers})
 	}
 	clear(s.callQueue[len(kept):])
 	s.callQueue = kept
@@ -219,14 +244,6 @@
 // isLong reports whether a call that names n workers is a long call.
 func (c *PolicyCost) isLong(n int) bool { return c != nil && c.Duration(n) >= longCallMS }
 
-// isLongCall reports whether the step's waiting call is a long call.
-func (s *step) isLongCall() bool { return s.job.Queue.Policy.isLong(len(s.permits.namedWorkers())) }
-
-// namedWorkers returns the workers that the waiting call will name.
-func (p *permits) namedWorkers() []string {
-	return p.callWorkers[:min(len(p.callWorkers), maxCallWorkers)]
-}
-
 // longCalls returns the number of callers with a long call in flight.
 func (s *Scheduler) longCalls() int {
 	n := 0
@@ -243,13 +260,13 @@
 // does not idle for a round trip to the holder between two calls.
 const maxShortCalls = 2
 
-// freeCaller returns the entry process that may make another call and has the fewest in
-// flight, the first by name if there are several, or "" if there is none.
-func (s *Scheduler) freeCaller(long bool) string {
+// freeCaller returns the entry process that may make another call for the step and has
+// the fewest in flight, the first by name if there are several, or "" if there is none.
+func (s *Scheduler) freeCaller(step string, long bool) string {
 	best, fewest := "", maxShortCalls
 	for name, c := range s.callers {
 		n := len(c.calls)
-		if s.now < c.avoidUntil || n > 0 && (long || c.hasLongCall()) {
+		if s.now < c.avoidUntil || n > 0 && (long || c.hasLongCall() || c.calls[step] != nil) {
 			continue
 		}
 		if n < fewest || n == fewest && best != "" && name < best {
--- a/internal/cell/permits_test.go
+++ b/internal/cell/permits_test.go
@@ -158,3 +158,46 @@
 	assert.Equal(t, len(r.permitRequests), 1)
 	assert.Assert(t, strings.HasPrefix(r.permitRequests[0].Step, quick.ID))
 }
+
+// A wide gang finds room sooner with more allowed workers. While callers are idle, its
+// first request must name more workers than fit into one call; otherwise it must leave
+// the callers to other steps.
+func TestWideGangAsksThroughIdleCallers(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		callers int
+		calls   int
+	}{
+		{"all idle", 20, 3},
+		{"few callers", 2, 1},
+	} {
+		r := newRig(t, 2*maxCallWorkers+50, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		var names []string
+		for n := range test.callers {
+			names = append(names, strings.Repeat("e", n+1))
+		}
+		r.s.SetCallers(names)
+		job := Job{ID: jobID(1), Queue: permitQueue(), Steps: []Step{{Tasks: 20, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000, Gang: true}}}
+		r.submit(job)
+		assert.Equal(t, len(r.permitRequests), test.calls, test.name)
+		named := map[string]bool{}
+		for _, request := range r.permitRequests {
+			assert.Assert(t, len(request.Workers) <= maxCallWorkers)
+			for _, id := range request.Workers {
+				assert.Assert(t, !named[id], "%s: %s is named twice", test.name, id)
+				named[id] = true
+			}
+		}
+		// The answers may come in any order, and a caller may leave instead of answering.
+		for i := len(r.permitRequests) - 1; i > 0; i-- {
+			request := r.permitRequests[i]
+			r.s.PermitsReceived(PermitResult{Caller: request.Caller, Step: request.Step, Workers: request.Workers, ValidForMS: 1500})
+			assert.Assert(t, r.s.stepByName(request.Step).permits.pending(), test.name)
+		}
+		first := r.permitRequests[0]
+		r.s.SetCallers(slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == first.Caller }))
+		assert.Assert(t, !r.s.stepByName(first.Step).permits.pending(), test.name)
+		r.s.PermitsReceived(PermitResult{Caller: first.Caller, Step: first.Step, Workers: first.Workers, ValidForMS: 1500})
+		assert.Equal(t, r.s.stepByName(first.Step).permits.calls, 0, test.name)
+	}
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -236,9 +236,9 @@
 	// newWorkerAt is 1 ms after a worker was last added, so that a step that asked about
 	// all workers in the same ms asks about the new one too.
 	newWorkerAt   Instant
-	callQueue     []*step // steps waiting for a call to the policy service
-	endedJobs     []*job  // in order of their end
-	scheduledJobs []*job  // jobs with future occurrences
+	callQueue     []*permitCall // waiting for a caller
+	endedJobs     []*job        // in order of their end
+	scheduledJobs []*job        // jobs with future occurrences
 }
 
 // New returns a Scheduler without jobs and workers.
