--- a/spec/check.sh
+++ b/spec/check.sh
@@ -75,6 +75,14 @@
 pass terms -DTERMS=5 -DWRITES=3
 fail terms -DSAME_TOKEN
 fail terms -DNO_FENCE
+pass roster -DCHANGES=4
+pass roster -DHOLDERS=3 -DCHANGES=1
+fail roster -DPLACE_ON_CLOSED
+fail roster -DREOPEN_UNSTORED
+fail roster -DFORGET_TASKS
+fail roster -DIGNORE_HELD
+fail roster -DHOLDERS=3 -DCHANGES=1 -DLISTED_IS_OPEN
+fail roster -DHOLDERS=3 -DCHANGES=1 -DDROP_INHERITED
 pass tasklease
 fail tasklease -DMANY_POLLS
 fail tasklease -DLAPSED_POLL
