--- a/internal/cell/roster_test.go
+++ b/internal/cell/roster_test.go
@@ -37,9 +37,16 @@
 	r.endLast(EndDone) // makes room on the other worker
 	assert.DeepEqual(t, r.startedTasks(), map[string]int{jobID(0) + ".0.0.0": 1, jobID(1) + ".0.0.0": 1, jobID(2) + ".0.0.0": 1})
 
-	// The next holder inherits what is known of the silent worker.
-	r.endLast(EndDone)
+	// The next holder inherits what is known of the silent worker, also from a roster that
+	// this one has written.
+	r.workers["new"] = &fakeWorker{}
+	r.infos = append(r.infos, WorkerInfo{ID: "new", Service: "svc", Capacity: Resources{CPUMilli: 100, MemoryMB: 1000}})
+	r.s.SetWorkers(r.infos)
+	r.submit(oneStep(jobID(3), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
 	r.takeOver(3)
+	r.endLast(EndDone)
+	assert.Equal(t, r.startedTasks()[jobID(3)+".0.0.0"], 1, "only the task of the silent worker waits")
+	r.endLast(EndDone)
 	r.advance(100)
 	assert.Equal(t, r.startedTasks()[silent.Task.String()], 1, "the task may still be running")
 	r.now += 12000
@@ -68,7 +75,7 @@
 	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
 	r.logDown = true
 	r.workers["w00"].unreachable = false
-	r.advance(10)
+	r.advance(2 * searchIntervalMS)
 	assert.Equal(t, len(r.starts), 0, "the roster does not list the worker as open yet")
 	r.s.Stored(r.s.seq)
 	r.runActions()
@@ -117,6 +124,30 @@
 	assert.Equal(t, len(r.starts), 1)
 }
 
+// A run that the scheduler has ordered to stop because it does not know it may still be
+// one of a task that is placed again later.
+func TestRosterNamesUnknownRuns(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	id := TaskID{Job: jobID(1)}
+	r.s.workers["w00"].unknownRuns[runKey{id, 1}] = true
+	r.silence("w00")
+	var stored roster
+	assert.NilError(t, decodeRecord(Record{rosterKey, r.log[rosterKey]}, &stored))
+	assert.DeepEqual(t, stored.Closed[0].Tasks, []string{id.String()})
+}
+
+// While a new holder waits for a worker that may be running any task, calls of the policy
+// service for older jobs would mostly be for tasks that run already.
+func TestNoPermitsAheadOfReconciliation(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(Job{ID: jobID(1), Queue: permitQueue(), Steps: []Step{{Tasks: 1, Resources: Resources{CPUMilli: 100}, EstimateMS: 100}}})
+	before := len(r.permitRequests)
+	r.workers["w00"].unreachable = true // not noticed by the first holder
+	r.takeOver(2)
+	r.advance(100)
+	assert.Equal(t, len(r.permitRequests), before)
+}
+
 // All tasks of a gang start together, so none may start while one of them may still be
 // running on a silent worker.
 func TestTakeoverHoldsWholeGang(t *testing.T) {
