--- a/internal/entry/speed.go
+++ b/internal/entry/speed.go
@@ -63,8 +63,8 @@
 }
 
 // probeSpeed measures the VM's speed until the process stops, and logs when it changes
-// much. The VMs of a cell share their hosts with others and may become several times
-// slower for seconds.
+// much. VMs share their hosts with others and may become several times slower for
+// seconds.
 func (n *Node) probeSpeed() {
 	data := make([]byte, probeBytes)
 	var sum uint64
