Refuse requests at once while a cell has had no holder for long

Cause: each request waited 1.5 s for a takeover, however long there had been no holder.

Change: the wait counts from when the cell lost its holder, and the Retry-After grows with the outage from 1 to 3 s, as it does while the log is silent. A request that was sent to a lost holder is still answered with an unknown outcome.

Measured: TestRequestsAreRefusedAtOnceInAnOutage takes 1.5 s for the second request before.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -169,3 +169,24 @@
 	assert.Assert(t, time.Since(start) < 1500*time.Millisecond, "the last start took %v", time.Since(start))
 	assert.Equal(t, sent, maxConcurrentStarts)
 }
+
+// While a cell has had no holder for long, requests must be refused at once, with a retry
+// delay that grows with the outage. Each waited 1.5 s, so that callers had used up their
+// attempts when the cell was served again.
+func TestRequestsAreRefusedAtOnceInAnOutage(t *testing.T) {
+	log, fleet := newFakeLog(), newFakeFleet(1)
+	log.setDown(true, false)
+	n := startNode(t, "a", log, fleet)
+	err := n.Submit(within(5*time.Second), testJob(1)) // waits for a takeover
+	assert.Equal(t, fault.KindOf(err), fault.NotReady)
+	eventually(t, "a long outage", func() bool { return n.agents()[0].unreachableFor() > takeoverTimeout })
+	start := time.Now()
+	err = n.Submit(within(5*time.Second), testJob(1))
+	assert.Equal(t, fault.KindOf(err), fault.NotReady)
+	assert.Assert(t, time.Since(start) < takeoverTimeout/2, "refused after %v", time.Since(start))
+	assert.Assert(t, fault.As(err).RetryAfterMS >= takeoverTimeout.Milliseconds())
+
+	log.setDown(false, false)
+	eventually(t, "a holder", n.holds)
+	assert.NilError(t, n.Submit(within(5*time.Second), testJob(1)))
+}
--- a/internal/entry/ingress.go
+++ b/internal/entry/ingress.go
@@ -11,13 +11,14 @@
 
 // Timing of requests to a holder.
 const (
-	// takeoverTimeout is how long a request waits for the cell to get a holder. Most
-	// takeovers are shorter, and later refusals are of no use to callers.
+	// takeoverTimeout is how long a request waits for the cell to get a holder, counted
+	// from when the cell lost its holder. Most takeovers are shorter, and later refusals
+	// are of no use to callers.
 	takeoverTimeout = 1500 * time.Millisecond
 	// holderRetryDelay is the delay before a request is sent to the same holder again.
 	holderRetryDelay = 40 * time.Millisecond
-	// retryNoHolderMS is the retry delay advised to callers when there is no holder, in
-	// ms.
+	// retryNoHolderMS is the retry delay advised to other processes when there is no
+	// holder, in ms.
 	retryNoHolderMS = 1000
 )
 
@@ -91,7 +92,7 @@
 // lost, it tries the next one; requests are idempotent.
 func (a *agent) callHolder(ctx context.Context, local func(*holder) error, remote func(*link.Link) error) error {
 	sent := false
-	timeout := time.NewTimer(takeoverTimeout)
+	timeout := time.NewTimer(takeoverTimeout - a.unreachableFor())
 	defer timeout.Stop()
 	for {
 		h, l, changed := a.route()
@@ -115,9 +116,9 @@
 			retry.Stop()
 		case <-retry.C:
 		case <-timeout.C:
-			return errNoHolder(sent)
+			return a.errNoHolder(sent)
 		case <-ctx.Done():
-			return errNoHolder(sent)
+			return a.errNoHolder(sent)
 		}
 	}
 }
@@ -133,11 +134,11 @@
 
 // errNoHolder returns the error for a request that found no holder in time. The outcome
 // is unknown if the request was sent to a lost holder.
-func errNoHolder(sent bool) error {
+func (a *agent) errNoHolder(sent bool) error {
 	if sent {
 		return fault.New(fault.OutcomeLost, "the holder of the cell was lost before it replied", "send the same request again")
 	}
 	e := fault.New(fault.NotReady, "the cell has no holder at present", "send the request again after the retry delay")
-	e.RetryAfterMS = retryNoHolderMS
+	e.RetryAfterMS = outageRetryMS(a.unreachableFor())
 	return e
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
@@ -54,13 +55,20 @@
 }
 
 // Range in ms of the retry delay advised to callers that are refused while the log is
-// silent. The delay grows with the silence: outages last seconds, callers stop retrying
-// after a few attempts, and most jobs can still be on time after an outage.
+// silent or the cell has no holder. The delay grows with the outage: outages last seconds,
+// callers stop retrying after a few attempts, and most jobs can still be on time after an
+// outage.
 const (
-	minRetryLogDownMS = 1000
-	maxRetryLogDownMS = 3000
+	minOutageRetryMS = 1000
+	maxOutageRetryMS = 3000
 )
 
+// outageRetryMS returns the retry delay in ms to advise after an outage of the given
+// duration.
+func outageRetryMS(outage time.Duration) int64 {
+	return min(max(outage.Milliseconds(), minOutageRetryMS), maxOutageRetryMS)
+}
+
 // retryNoCapacityMS is the retry delay advised to callers whose job fits on no worker,
 // in ms. Workers need about that time to return after maintenance or a crash.
 const retryNoCapacityMS = 5000
@@ -91,9 +99,9 @@
 
 // errLogDown returns the error for a job that is refused because the log is silent.
 func (h *holder) errLogDown() error {
-	silent := max(h.writer.silentFor(), h.sinceConfirmed()).Milliseconds()
-	e := fault.New(fault.LogDown, fmt.Sprintf("the log has not responded for %d ms", silent), "send the job again after the retry delay")
-	e.RetryAfterMS = min(max(silent, minRetryLogDownMS), maxRetryLogDownMS)
+	silent := max(h.writer.silentFor(), h.sinceConfirmed())
+	e := fault.New(fault.LogDown, fmt.Sprintf("the log has not responded for %d ms", silent.Milliseconds()), "send the job again after the retry delay")
+	e.RetryAfterMS = outageRetryMS(silent)
 	return e
 }
 
