--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -177,6 +177,7 @@
 	log, fleet := newFakeLog(), newFakeFleet(1)
 	log.setDown(true, false)
 	n := startNode(t, "a", log, fleet)
+	eventually(t, "the layout", func() bool { return len(n.agents()) > 0 })
 	err := n.Submit(within(5*time.Second), testJob(1)) // waits for a takeover
 	assert.Equal(t, fault.KindOf(err), fault.NotReady)
 	eventually(t, "a long outage", func() bool { return n.agents()[0].unreachableFor() > takeoverTimeout })
