--- a/internal/cell/roster_test.go
+++ b/internal/cell/roster_test.go
@@ -110,8 +110,7 @@
 	assert.Equal(t, len(r.starts), 3)
 }
 
-// A run that is being stopped on a silent worker, and a run that only the worker knows,
-// may still be going on there.
+// A run that is being stopped on a silent worker may still be going on there.
 func TestTakeoverHoldsStoppedRuns(t *testing.T) {
 	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
