Tell a holder that does not reply from one that was lost

A request whose time ended while its holder was reachable was logged as "the holder of the cell was lost". The logs of a planned stop could not tell a slow holder from a takeover. The outcome and the status stay the same.

--- a/internal/entry/ingress.go
+++ b/internal/entry/ingress.go
@@ -118,6 +118,9 @@
 		case <-timeout.C:
 			return a.errNoHolder(sent)
 		case <-ctx.Done():
+			if sent && a.unreachableFor() == 0 {
+				return fault.Wrap(fault.OutcomeLost, err, "the holder of the cell did not reply in time", "send the same request again")
+			}
 			return a.errNoHolder(sent)
 		}
 	}
