Give up tasks that crash the workers that start them

Cause: a run that ends with its worker is no failure of the task, rightly, as workers crash for other reasons. Nothing told the two apart, so such a task had no limit.

Change: the runs of a worker that stops answering are kept until it is replaced (a crash) or answers again (none). Tasks that were started within 0.5 s before are suspected. A suspected task is started on a worker that starts no other task 0.5 s before and after; if that worker crashes too, the job fails. A task under which five workers have crashed at any time of its runs is given up as well, unless a task on trial explains the crash; services are exempt from this limit. The counts are in the progress record, so that they outlast a takeover. Two events, and explain names the cause.

Ruled out: a limit on lost runs alone (a task that ran beside such tasks would be given up), and judging by the first crash (several tasks start on a worker within 0.5 s).

--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -89,6 +89,8 @@
 	EventCellResumed        Event = "cell_resumed"
 	EventCellSettled        Event = "cell_settled"
 	EventWorkerRestarted    Event = "worker_restarted"
+	EventCrashSuspected     Event = "crash_suspected"
+	EventTaskGivenUp        Event = "task_given_up"
 )
 
 // EventInfo documents an event for operators.
@@ -103,7 +105,7 @@
 var Events = []EventInfo{
 	{EventJobAccepted, "a job was submitted; it is accepted once its record is stored", "", "queue"},
 	{EventJobCompleted, "all tasks of a job are done", "age of the job", "queue"},
-	{EventJobFailed, "a task or gang has failed as often as the queue allows", "age of the job", "queue"},
+	{EventJobFailed, "a task or gang has failed as often as the queue allows, or a task has crashed its workers", "age of the job", "queue"},
 	{EventJobCancelled, "the caller cancelled the job", "age of the job", "queue"},
 	{EventPermitsGiven, "the policy service answered a call for a step", "duration of the call", "workers allowed/named in the call; worker is the calling entry process"},
 	{EventPermitsFailed, "the policy service did not answer a call for a step; the step requests permits again", "duration of the call", "worker is the calling entry process"},
@@ -116,6 +118,8 @@
 	{EventRunLost, "a run was stopped, ended with the worker's lease, or its gang did not assemble in time; the task is placed again", "", "how the run ended"},
 	{EventWorkerDraining, "a worker is draining and gets no new tasks", "minimum time until the worker leaves; 0 if unknown", ""},
 	{EventWorkerLeaseExpired, "the lease of an unreachable worker has expired, or the worker was replaced; its tasks are placed again", "number of tasks", ""},
+	{EventCrashSuspected, "a worker crashed soon after it started the task; until a run lasts, the task is started where no other task starts", "such crashes of the task in a row", "whether no other step had started a task there"},
+	{EventTaskGivenUp, "a task has crashed its workers; its job fails", "crashes under the task", "queue"},
 	{EventWorkerRestarted, "a worker has restarted; its tasks are placed again", "number of tasks", ""},
 	{EventCellResumed, "after a takeover, tasks of older jobs are placed unless an unreachable worker may be running them", "time since the records were read", "unreachable workers whose tasks still wait"},
 	{EventCellSettled, "after a takeover, every worker has listed its tasks or can run none any more", "time since the records were read", "workers without a listing, for whose leases the holder waited"},
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -15,6 +15,9 @@
 	if a != nil {
 		s.closeAttempt(a)
 		w.health.recordEnd(s.now, e.Kind)
+		if e.Kind == EndDone || e.Kind == EndFailed {
+			s.clearSuspicion(a.task)
+		}
 	}
 	p := &pendingEnd{number: e.Number}
 	if t := s.task(e.Task); t != nil {
@@ -226,5 +229,10 @@
 			p.Failed = append(p.Failed, taskFailures{Index: t.index, Runs: t.failed})
 		}
 	}
-	return p, p.Started || len(p.Done) > 0 || len(p.Failed) > 0
+	for _, t := range s.tasks {
+		if c := t.crashes; c != (crashes{}) {
+			p.Crashes = append(p.Crashes, taskCrashes{Index: t.index, Total: c.total, Early: c.early, Suspected: c.suspected})
+		}
+	}
+	return p, p.Started || len(p.Crashes) > 0 || len(p.Done) > 0 || len(p.Failed) > 0
 }
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// WorkerReplaced reports that a worker has ended and that another one answers at its
+// address. Like LeaseExpired, it has the tasks placed again, and it counts a crash for
+// each of them.
+func (s *Scheduler) WorkerReplaced(workerID string) {
+	s.LeaseExpired(workerID)
+	s.countCrash(workerID)
+}
+
 // removeWorker deletes a worker that has left and runs nothing any more.
 func (s *Scheduler) removeWorker(w *worker) {
 	delete(s.workers, w.ID)
@@ -83,8 +91,10 @@
 	}
 	if w.fenced && w.incarnation != l.Incarnation {
 		s.emit(LogEvent{Event: EventWorkerRestarted, Failed: true, Worker: w.ID, AgeMS: int64(len(w.attempts))})
+		s.recordLostRuns(w)
 		s.closeAttempts(w)
 		s.resetWorker(w)
+		s.countCrash(w.ID)
 	}
 	if !w.fenced {
 		s.resetWorker(w)
@@ -92,6 +102,7 @@
 		s.freed = append(s.freed, w)
 	}
 	w.unreachable = false
+	s.forgetLostRuns(w.ID)
 	s.updateClosed(w)
 	w.incarnation = l.Incarnation
 	silent := w.silentBefore(l.RequestedAt)
@@ -153,6 +164,9 @@
 	a := s.openAttempt(t, w, key.run)
 	a.resumed = true
 	s.confirm(a)
+	if t.crashes.suspected {
+		s.beginTrial(a)
+	}
 	return a
 }
 
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -201,6 +201,9 @@
 // fitCount returns how many tasks of the step fit on the worker now without using
 // capacity reserved for gangs.
 func (s *Scheduler) fitCount(st *step, w *worker) int {
+	if w.isKeptForTrial(st, s.now) {
+		return 0
+	}
 	limit := len(st.tasks)
 	if w.health.probation {
 		limit = 1
@@ -239,8 +242,17 @@
 	cands, fitsWithoutPermit := s.candidates(st)
 	s.rank(st, cands)
 	placed := 0
+	if st.suspects > 0 {
+		if s.placeTrial(st) {
+			return true
+		}
+		st.nextSearch = s.now + searchIntervalMS
+		if !st.outlasted(s.now) {
+			return false
+		}
+	}
 	for _, t := range st.tasks {
-		if !t.isPlaceable() {
+		if !t.isPlaceable() || t.crashes.suspected {
 			continue
 		}
 		c := firstWithCapacity(cands, t)
@@ -381,6 +393,11 @@
 func (s *Scheduler) start(st *step, t *task, w *worker, run uint32, checkpoint string) {
 	t.speculate = false
 	a := s.openAttempt(t, w, run)
+	a.placed = true
 	a.resumed = checkpoint != ""
+	w.lastStart = s.now
+	if t.crashes.suspected {
+		s.beginTrial(a)
+	}
 	s.emit(Start{Worker: w.ID, Task: t.id(), Run: a.run, Spec: st.job.Spec, Checkpoint: checkpoint, Ticket: st.ticket(w)})
 }
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -42,6 +42,17 @@
 	Failed []taskFailures `cbor:"4,keyasint,omitempty"`
 	// Started is set once a task of the step has run.
 	Started bool `cbor:"5,keyasint,omitempty"`
+	// Crashes has an entry for each task under which a worker has crashed or stopped
+	// answering.
+	Crashes []taskCrashes `cbor:"6,keyasint,omitempty"`
+}
+
+type taskCrashes struct {
+	_         struct{} `cbor:",toarray"`
+	Index     int
+	Total     int
+	Early     int
+	Suspected bool
 }
 
 type taskFailures struct {
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -102,6 +102,14 @@
 			st.tasks[f.Index].failed = f.Runs
 		}
 	}
+	for _, c := range p.Crashes {
+		if c.Index < len(st.tasks) {
+			st.tasks[c.Index].crashes = crashes{total: c.Total, early: c.Early, suspected: c.Suspected}
+			if c.Suspected {
+				st.suspects++
+			}
+		}
+	}
 	if st.complete() {
 		o.left--
 	}
--- a/internal/cell/rig_test.go
+++ b/internal/cell/rig_test.go
@@ -107,7 +107,7 @@
 		r.s.Started(a.Worker, a.Task, a.Run, StartAccepted)
 	case Stop:
 		r.stops = append(r.stops, a)
-		if !r.workers[a.Worker].unreachable {
+		if w := r.workers[a.Worker]; w != nil && !w.unreachable {
 			r.endRun(a.Worker, a.Task, a.Run, EndStopped)
 			r.s.Stopped(a.Worker, a.Task, a.Run)
 		}
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -36,6 +36,7 @@
 func (s *Scheduler) WorkerUnreachable(workerID string) {
 	if w := s.workers[workerID]; w != nil {
 		w.unreachable = true
+		s.recordLostRuns(w)
 		s.updateClosed(w)
 	}
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -51,6 +51,7 @@
 	gangEnd     Instant  // when the slowest member of a running gang is estimated to end
 	plan        gangPlan // of a gang that does not fit yet
 	nextSearch  Instant  // when to search for capacity again even if no worker has gained any
+	suspects    int      // tasks that are suspected of crashing workers
 }
 
 // name returns the step name as used in calls to the policy service.
@@ -67,6 +68,7 @@
 	lastRun    uint32   // highest run number
 	checkpoint string   // newest checkpoint
 	attempts   []*attempt
+	crashes    crashes
 	// speculate is set if a speculative attempt should start alongside a slow one.
 	speculate bool
 	// unreconciledOn holds the workers that may be running the task for an earlier holder
@@ -105,6 +107,8 @@
 	load         int64   // last reported value of RunningTask.Load
 	cpuShare     int     // CPU share of a filler in percent
 	progress     progress
+	placed       bool    // started by this holder
+	onTrial      bool    // the task is or was suspected of crashing workers
 	resumed      bool    // resumed from a checkpoint or adopted from an earlier holder
 	comparedAt   Instant // progress.at in the last speed comparison
 	relative     float64 // speed relative to the other runs of the step; 0 if unknown
@@ -139,6 +143,10 @@
 	unreachable  bool          // has not answered since a renewal of its lease failed
 	listedClosed bool          // the newest roster lists the worker as closed
 	leavesAt     Instant       // when a draining worker may leave; 0 if unknown
+	lastStart    Instant       // when a task was last placed on the worker
+	trial        *attempt      // of a suspected task; no other step may start tasks meanwhile
+	keptFor      *step         // for whose trial the worker starts no tasks until keptUntil
+	keptUntil    Instant       // 0 if the worker is not kept
 	throttledAt  Instant       // when the CPU share of a filler last changed
 	reservations []reservation // made in the current placement pass
 	// rosterSeq is the sequence number of the roster record that contains the worker as
@@ -236,9 +244,11 @@
 	// newWorkerAt is 1 ms after a worker was last added, so that a step that asked about
 	// all workers in the same ms asks about the new one too.
 	newWorkerAt   Instant
-	callQueue     []*permitCall // waiting for a caller
-	endedJobs     []*job        // in order of their end
-	scheduledJobs []*job        // jobs with future occurrences
+	lost          map[string]*lostRuns // runs of workers that have stopped answering, by worker ID
+	trials        []*attempt           // runs of suspected tasks
+	callQueue     []*permitCall        // waiting for a caller
+	endedJobs     []*job               // in order of their end
+	scheduledJobs []*job               // jobs with future occurrences
 }
 
 // New returns a Scheduler without jobs and workers.
@@ -249,6 +259,7 @@
 		workers:       map[string]*worker{},
 		unstored:      map[*worker]bool{},
 		unreconciled:  map[string]*unreconciledWorker{},
+		lost:          map[string]*lostRuns{},
 		callers:       callers{},
 		allowedShares: allowedShares{},
 	}
@@ -276,7 +287,9 @@
 		s.evacuate()
 		s.dropDrained()
 		s.throttleFillers()
+		s.dropOldLostRuns()
 	}
+	s.checkTrials()
 	s.place()
 	s.dispatchCalls()
 	s.writeProgress()
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -185,7 +185,7 @@
 	}
 	if errors.As(err, &c) && c.Failure == ControlReplaced {
 		s.holder.logger.Info("worker_gone", zap.String("worker", s.target.ID))
-		s.leaseExpired()
+		s.holder.post(func(sched *cell.Scheduler) { sched.WorkerReplaced(s.target.ID) })
 		return false
 	}
 	if s.setUnreachable(true) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -88,7 +88,7 @@
 // cancellation, refusal, late placement and repeated runs that the lines show.
 func cause(lines []Line) string {
 	count := map[string]int{}
-	var lastRefusal, lastFailure, lateDetail string
+	var lastRefusal, lastFailure, givenUp, lateDetail string
 	var longestWait, longestWaitMS = "", int64(0)
 	withdrawn := false // refused after it was submitted, because its record was not sent
 	for _, l := range lines {
@@ -98,6 +98,8 @@
 		switch cell.Event(event) {
 		case cell.EventRunFailed:
 			lastFailure = fmt.Sprintf("run %s of %s failed on worker %s", l.Fields["run"], l.Fields["task"], l.Fields["worker"])
+		case cell.EventTaskGivenUp:
+			givenUp = fmt.Sprintf("%s crashed its workers, %s last", l.Fields["task"], l.Fields["worker"])
 		case cell.EventStepPlaced, cell.EventStepPlacedLate, cell.EventPermitsGiven:
 			if age > longestWaitMS {
 				longestWait, longestWaitMS = fmt.Sprintf("%s of %s after %d ms", event, l.Fields["task"], age), age
@@ -123,6 +125,8 @@
 	}
 	placed := count[string(cell.EventStepPlaced)] + count[string(cell.EventStepPlacedLate)]
 	switch {
+	case givenUp != "":
+		return "failed: " + givenUp
 	case count[string(cell.EventJobFailed)] > 0:
 		return "failed: " + lastFailure + ", which exhausted the attempts that the queue allows"
 	case count[string(cell.EventJobCancelled)] > 0:
@@ -131,6 +135,8 @@
 		return "not accepted: " + lastRefusal + meanwhile
 	case lateDetail != "":
 		return "placed late: " + lateDetail + meanwhile
+	case count[string(cell.EventCrashSuspected)] > 0:
+		return fmt.Sprintf("delayed by %d crashes of workers soon after the start of a task%s", count[string(cell.EventCrashSuspected)], meanwhile)
 	case count[string(cell.EventRunHung)]+count[string(cell.EventStartRefused)]+count[string(cell.EventRunFailed)] > 0:
 		return fmt.Sprintf("delayed by %d hung runs, %d refused starts, %d failed runs%s", count[string(cell.EventRunHung)], count[string(cell.EventStartRefused)], count[string(cell.EventRunFailed)], meanwhile)
 	case count[string(cell.EventJobCompleted)] == 0:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -17,6 +17,8 @@
 		lines             int
 	}{
 		{"failed", "ts=2 level=warn event=run_failed job=" + id + " task=" + id + ".0.0.1 run=2 worker=w1 age_ms=2\nts=3 event=job_failed job=" + id, "ts=1 event=job_taken job=" + id, "failed: run 2 of " + id + ".0.0.1 failed on worker w1", 3},
+		{"crashes", "ts=2 event=crash_suspected job=" + id + " task=" + id + ".0.0.1 worker=w1 age_ms=1\nts=3 event=task_given_up job=" + id + " task=" + id + ".0.0.1 worker=w2 age_ms=2\nts=3 event=job_failed job=" + id, "ts=1 event=job_taken job=" + id, "failed: " + id + ".0.0.1 crashed its workers, w2 last", 4},
+		{"crash", "ts=2 event=crash_suspected job=" + id + " task=" + id + ".0.0.1 worker=w1 age_ms=1\nts=3 event=job_completed job=" + id, "ts=1 event=job_taken job=" + id, "delayed by 1 crashes of workers soon after the start of a task", 3},
 		{"refused", `12.3 edge-1 ts=1 event=request_refused job=` + id + ` error="log_unavailable: the log has not responded for 1200 ms (send the job again after the retry delay)"`, "ts=2 event=job_taken job=other", "not accepted: log_unavailable: the log has not responded for 1200 ms (send the job again after the retry delay)", 1},
 		{"late", "ts=1 event=job_taken job=" + id + "\nts=5 event=step_placed_late job=" + id + " task=" + id + ".0.0 age_ms=4000\nts=6 event=job_completed job=" + id, "ts=2 event=log_lost cell=0\nts=9 event=log_lost cell=0", "placed late: step " + id + ".0.0 waited 4000 ms for capacity or permits; meanwhile log_lost (1)", 4},
 		{"withdrawn", "ts=1 event=job_taken job=" + id + "\nts=2 event=request_refused job=" + id + " error=log_unavailable", "ts=3 event=request_refused job=" + id + " error=log_unavailable", "not accepted: log_unavailable", 3},
