Guard against starts on a worker whose capacity has shrunk

Workers may shrink and grow while they run. The test passes on this code: runs that are being stopped still count, and free capacity below zero fits no task. It guards the accounting.

--- a/internal/cell/place_test.go
+++ b/internal/cell/place_test.go
@@ -44,3 +44,31 @@
 	r.takeOver(2)
 	assert.Assert(t, r.s.Settled())
 }
+
+// Guards against starts that bring a worker over a capacity that has shrunk while tasks run
+// there, or are being stopped.
+func TestShrunkCapacityIsNotExceeded(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 8000, MemoryMB: 8000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 4, Resources: Resources{CPUMilli: 1000}, EstimateMS: 10_000}))
+	r.submit(oneStep(jobID(2), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 10_000}))
+	assert.Equal(t, len(r.starts), 6)
+	r.infos[0].Capacity.CPUMilli = 4000
+	r.s.SetWorkers(r.infos)
+	r.submit(oneStep(jobID(3), Step{Tasks: 3, Resources: Resources{CPUMilli: 1000}, EstimateMS: 10_000}))
+	r.submit(oneStep(jobID(4), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 10_000, Gang: true}))
+	r.workers["w00"].unreachable = true // the stops of job 2 are not answered yet
+	_, known := r.s.Cancel(jobID(2))
+	assert.Assert(t, known)
+	r.advance(1000)
+	assert.Equal(t, len(r.starts), 6)
+	r.workers["w00"].unreachable = false
+	for _, start := range r.starts[4:6] {
+		r.endRun("w00", start.Task, start.Run, EndStopped)
+	}
+	r.advance(1000)
+	assert.Equal(t, len(r.starts), 6, "four tasks still use all of the capacity")
+	r.infos[0].Capacity.CPUMilli = 9000
+	r.s.SetWorkers(r.infos)
+	r.advance(1000)
+	assert.Equal(t, len(r.starts), 11)
+}
