Leave a request time for the next holder after a slow one

What callers saw: 504 for a request that waited 1.5 s or more for a holder that was then lost, for example by a planned stop, although the next holder served 0.1 s later.

Cause: the limit on the time without a holder was counted from the start of the request.

Change: it is counted from when no holder served the request; the time that a holder took before it was lost does not count. A request whose own time has ended is now always reported as such: two ready cases of a select chose the text of the log line at random.

Ruled out: no limit while a link exists (links that end at once would be tried until the caller's deadline).

Measured: TestSlowHolderLeavesTimeForTheNext and TestUnansweredRequestNamesItsCause failed before.

--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+	"github.com/fulmarlatch/fulmarlatch/internal/link"
 )
 
 // The renewals that a lost holder reported over its link must not be applied to the
@@ -56,3 +59,44 @@
 	late.confirmedAt -= authorityPeriod // the authority also expires while the VM is suspended
 	assert.Assert(t, !late.hasAuthority())
 }
+
+// Guards against a request that is not passed to the next holder because the first one was
+// slow before it was lost.
+func TestSlowHolderLeavesTimeForTheNext(t *testing.T) {
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1}, Platform{}), 0)
+	a.setRoute(nil, new(link.Link))
+	calls := 0
+	err := a.callHolder(within(4*time.Second), nil, func(*link.Link) error {
+		if calls++; calls == 1 {
+			time.Sleep(takeoverTimeout + 50*time.Millisecond)
+			a.setRoute(nil, nil)
+			time.AfterFunc(100*time.Millisecond, func() { a.setRoute(nil, new(link.Link)) })
+			return fault.New(fault.Unavailable, "the link is down", "retry")
+		}
+		return nil
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, calls, 2)
+}
+
+// Guards against a log that reports a slow holder as a lost one.
+func TestUnansweredRequestNamesItsCause(t *testing.T) {
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1}, Platform{}), 0)
+	a.setRoute(nil, new(link.Link))
+	const requests = 16
+	errs := make(chan error, requests)
+	for range requests {
+		go func() {
+			ctx := within(takeoverTimeout + 50*time.Millisecond)
+			errs <- a.callHolder(ctx, nil, func(*link.Link) error {
+				<-ctx.Done()
+				return fault.Wrap(fault.Unavailable, ctx.Err(), "no reply in time", "retry")
+			})
+		}()
+	}
+	for range requests {
+		err := <-errs
+		assert.Equal(t, fault.KindOf(err), fault.OutcomeLost)
+		assert.ErrorContains(t, err, "did not reply in time")
+	}
+}
--- a/internal/entry/ingress.go
+++ b/internal/entry/ingress.go
@@ -92,11 +92,11 @@
 // lost, it tries the next one; requests are idempotent.
 func (a *agent) callHolder(ctx context.Context, local func(*holder) error, remote func(*link.Link) error) error {
 	sent := false
-	timeout := time.NewTimer(takeoverTimeout - a.unreachableFor())
-	defer timeout.Stop()
+	var unserved time.Time // since when no holder has served the request
 	for {
 		h, l, changed := a.route()
 		var err error
+		called := time.Now()
 		switch {
 		case h != nil:
 			err = local(h)
@@ -108,21 +108,29 @@
 		if !retriable(err) {
 			return err
 		}
-		sent = sent || fault.KindOf(err) == fault.Unavailable
+		lost := fault.KindOf(err) == fault.Unavailable
+		sent = sent || lost
+		if ctx.Err() != nil {
+			return a.errUnserved(sent, err)
+		}
+		// The time that a holder took before it was lost is no time without a holder.
+		if unserved.IsZero() || lost && time.Since(called) > holderRetryDelay {
+			unserved = time.Now().Add(-a.unreachableFor())
+		}
+		left := takeoverTimeout - time.Since(unserved)
+		if left <= 0 {
+			return a.errNoHolder(sent)
+		}
 		// A new holder replies NotReady until it has restored the records.
-		retry := time.NewTimer(holderRetryDelay)
+		retry := time.NewTimer(min(holderRetryDelay, left))
 		select {
 		case <-changed:
-			retry.Stop()
 		case <-retry.C:
-		case <-timeout.C:
-			return a.errNoHolder(sent)
 		case <-ctx.Done():
-			if sent && a.unreachableFor() == 0 {
-				return fault.Wrap(fault.OutcomeLost, err, "the holder of the cell did not reply in time", "send the same request again")
-			}
-			return a.errNoHolder(sent)
+			retry.Stop()
+			return a.errUnserved(sent, err)
 		}
+		retry.Stop()
 	}
 }
 
@@ -135,6 +143,15 @@
 	return kind == fault.Unavailable || kind == fault.NotReady
 }
 
+// errUnserved returns the error for a request whose time has ended. The last call to a
+// holder returned err.
+func (a *agent) errUnserved(sent bool, err error) error {
+	if sent && a.unreachableFor() == 0 {
+		return fault.Wrap(fault.OutcomeLost, err, "the holder of the cell did not reply in time", "send the same request again")
+	}
+	return a.errNoHolder(sent)
+}
+
 // errNoHolder returns the error for a request that found no holder in time. The outcome
 // is unknown if the request was sent to a lost holder.
 func (a *agent) errNoHolder(sent bool) error {
