Decode rosters that contain invalid UTF-8

What could happen: one entry among those of the workers whose key is not valid UTF-8 made every roster of the cell undecodable. The next holder skipped the record and knew of no worker to wait for, so it started restored tasks again that were still running on workers that had not sent a listing (TWICE).

Cause: the CBOR encoder writes text of any bytes, and the decoder refuses text that is not valid UTF-8. Keys of the registry are raw bytes.

Change: records of a cell are decoded without that check.

Ruled out: other text in these records. It comes from JSON, whose decoder replaces invalid UTF-8.

--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -94,8 +94,20 @@
 	return data
 }
 
+// recordDecoder accepts text that is not valid UTF-8. The encoder writes it, and a roster
+// that the next holder cannot decode would let it start tasks that are still running.
+var recordDecoder = newRecordDecoder()
+
+func newRecordDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are valid
+	}
+	return mode
+}
+
 func decodeRecord(r Record, into any) error {
-	if err := cbor.Unmarshal(r.Value, into); err != nil {
+	if err := recordDecoder.Unmarshal(r.Value, into); err != nil {
 		return fault.Wrap(fault.Invalid, err, "record "+r.Key+" cannot be decoded", "report this as a defect; the record is skipped")
 	}
 	return nil
