List workers without a registry entry as closed in the roster

What could happen: another writer overwrites the entry of a worker, which then names no worker and may stay so, because a worker writes its entry only when it changes. The runs of the worker go on, but the next holder has no address for it, and the roster listed it as open: all restored tasks waited for 3 s and a lease (up to 9 s), not only those that may be running there.

Cause: a worker without an entry gets no tasks, but did not count as closed.

Change: it does. As for an unreachable worker, the roster names the tasks that may be running there, only these wait after a takeover, and when the entry is back the worker gets tasks again once a roster is stored that lists it as open.

Ruled out: a worker that is skipped is not treated as absent. Its session goes on, its ends count, and its lease has to expire before its tasks are placed again (TestRunsOfUnregisteredWorkerGoOn, which held before).

Measured: TestTakeoverHoldsOnlyTasksOfUnregisteredWorkers failed on the code before (the third job was not started after the takeover) and passes.

--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -34,7 +34,11 @@
 	}
 	for id, w := range s.workers {
 		w.registered = registered[id]
-		if !w.registered && !w.fenced && len(w.attempts) == 0 {
+		if w.registered {
+			continue
+		}
+		s.updateClosed(w)
+		if !w.fenced && len(w.attempts) == 0 {
 			s.removeWorker(w)
 		}
 	}
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -9,9 +9,9 @@
 // knows. Starts are not recorded, so a new holder must not place a restored task while
 // an open worker of the roster, on which any task may have been started, has not sent a
 // listing. Of a closed worker, the roster names the tasks that may be running there, and
-// only these wait. Workers that are unreachable, draining or under maintenance are
-// closed: without that, all restored tasks would wait for the leases of workers that
-// are gone.
+// only these wait. Workers that are unreachable, not in the registry, draining or under
+// maintenance are closed: without that, all restored tasks would wait for the leases of
+// workers that are gone.
 
 // unreconciledWorker is a worker of an earlier holder that has not sent a listing.
 type unreconciledWorker struct {
@@ -25,7 +25,7 @@
 
 // isClosed reports whether the roster lists the worker as closed, so that it must get no
 // tasks.
-func (w *worker) isClosed() bool { return w.Draining || w.cordoned || w.unreachable }
+func (w *worker) isClosed() bool { return w.Draining || w.cordoned || w.unreachable || !w.registered }
 
 // isInRoster reports whether the stored roster contains the worker as open. No other
 // worker may get tasks.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -173,7 +173,7 @@
 
 // takesWork reports whether new tasks may be placed on the worker.
 func (w *worker) takesWork(now Instant) bool {
-	return w.registered && w.fenced && !w.isClosed() && len(w.unknownRuns) == 0 && now >= w.avoidUntil
+	return w.fenced && !w.isClosed() && len(w.unknownRuns) == 0 && now >= w.avoidUntil
 }
 
 func (w *worker) hasLabel(label string) bool {
