--- a/internal/cell/odd_worker_test.go
+++ b/internal/cell/odd_worker_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"slices"
 	"testing"
 
@@ -69,3 +70,23 @@
 	r.advance(searchIntervalMS)
 	assert.Equal(t, len(r.starts), 2, "the worker gets tasks again")
 }
+
+// Numbers without sense in the listing of a worker must neither end the term nor have tasks
+// started again: the run is there, whatever its percentage is.
+func TestOddPercentagesChangeNoRuns(t *testing.T) {
+	r := newRig(t, 3, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60000, Gang: true}))
+	r.submit(oneStep(jobID(2), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60000, Gang: true}))
+	assert.Equal(t, len(r.starts), 2)
+	for _, percent := range []int{math.MinInt, -1, 0, math.MaxInt, 1 << 40, 100, math.MinInt} {
+		for _, w := range r.workers {
+			for i := range w.running {
+				w.running[i].Percent, w.running[i].Load = percent, int64(percent)
+			}
+		}
+		r.advance(500)
+		r.s.Dump()
+	}
+	assert.Equal(t, len(r.starts), 2)
+	assert.Equal(t, len(r.stops), 0)
+}
