Wait for the last answers of a forced stop in fulmarlatchd

Cause: after the context of Shutdown had ended, a second shutdown was to wait for up to 2 s until the remaining requests were answered. The library returns from it at once, because the listener is closed already, and the process could exit over the answers.

Change: one shutdown, whose own context ends 2 s after the caller's context.

TestShutdownWaitsForLastAnswers failed before (Shutdown returned after 0.2 s with a request in progress).

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -77,13 +77,18 @@
 // Shutdown returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	defer s.cancel()
-	err := s.app.ShutdownWithContext(ctx)
-	if ctx.Err() == nil {
-		return err
+	// The fiber app waits for requests only in its first shutdown.
+	forced, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	defer context.AfterFunc(ctx, func() {
+		s.cancel()
+		time.AfterFunc(forcedStopTimeout, stop)
+	})()
+	err := s.app.ShutdownWithContext(forced)
+	if ctx.Err() != nil {
+		return ctx.Err()
 	}
-	s.cancel()
-	_ = s.app.ShutdownWithTimeout(forcedStopTimeout)
-	return ctx.Err()
+	return err
 }
 
 func (s *Server) mint(c fiber.Ctx) error {
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -273,6 +273,36 @@
 	}
 }
 
+// lateService is a JobService that answers a while after its context has ended.
+type lateService struct {
+	*blockingService
+	entered chan struct{}
+	left    atomic.Bool
+}
+
+func (l *lateService) Execute(ctx context.Context, _ message.Operation, _ api.Job) (a api.Answer, err error) {
+	close(l.entered)
+	<-ctx.Done()
+	time.Sleep(300 * time.Millisecond)
+	l.left.Store(true)
+	return a, ctx.Err()
+}
+
+// TestShutdownWaitsForLastAnswers guards against a shutdown that returns while requests are
+// being answered whose time it has ended.
+func TestShutdownWaitsForLastAnswers(t *testing.T) {
+	l := &lateService{blockingService: newBlockingService(), entered: make(chan struct{})}
+	_, c, s := serve(t, Config{JobService: l})
+	answer := make(chan api.Answer, 1)
+	go func() { answer <- c.Submit(context.Background(), job) }()
+	<-l.entered
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, s.Shutdown(ctx), context.DeadlineExceeded)
+	assert.Assert(t, l.left.Load())
+	assert.Equal(t, (<-answer).Outcome, api.OutcomeUnknown)
+}
+
 // TestClientRetries guards against a submission that the client sends twice.
 func TestClientRetries(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
