Handle signals before the first socket is opened

A SIGHUP between the opening of the sockets and the registration of its handler ended the process. The handlers are registered first now. Found by review; no test brings about this moment.

--- a/cmd/fulmarlatch-entry/main.go
+++ b/cmd/fulmarlatch-entry/main.go
@@ -105,6 +105,11 @@
 
 // serve runs the entry process until a signal to stop, and then shuts it down.
 func serve(s platform.Settings, log *zap.Logger) error {
+	// Without a handler, each of these signals ends the process.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangups := make(chan os.Signal, 1) // SIGHUP is logged and otherwise ignored
+	signal.Notify(hangups, syscall.SIGHUP)
 	sockets, err := listen(&s)
 	if err != nil {
 		return err
@@ -129,10 +134,6 @@
 		log.Warn("control_mode_unknown", zap.String("mode", mode), zap.String("remedy", "set controlMode to request; workers are sent orders as requests in every mode"))
 	}
 
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	hangups := make(chan os.Signal, 1) // SIGHUP is logged and otherwise ignored
-	signal.Notify(hangups, syscall.SIGHUP)
 	var goroutines conc.WaitGroup
 	goroutines.Go(func() {
 		for range hangups {
