Drop a job's progress only once its final state is stored

A holder that took over then found neither.

Change: a key is swept once the batch that drops it is stored, and finish writes the final state before it drops the progress, as a large batch may be split between the two.

Ruled out, by the logs: a claim without the lane (the new holder could change to lane 1 at once, so its claim listed it), a worker that had not listed its ends (cell_settled before the start).

--- a/internal/cell/ends_test.go
+++ b/internal/cell/ends_test.go
@@ -104,3 +104,21 @@
 	r.s.SetWorkers(r.infos)
 	assert.Equal(t, r.s.workers["w00"].leavesAt, r.now+1500)
 }
+
+// Guards against an append with the drop of a job's progress that is stored while the one
+// with the job's final state is lost.
+func TestFinalStateIsWrittenBeforeProgressIsDropped(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 500}, EstimateMS: 100}))
+	for _, start := range r.starts {
+		r.endRun(start.Worker, start.Task, start.Run, EndDone)
+	}
+	r.sendListing("w00")
+	var keys []string
+	for _, a := range r.s.Actions() {
+		if p, ok := a.(Persist); ok {
+			keys = append(keys, p.Key)
+		}
+	}
+	assert.DeepEqual(t, keys, []string{jobID(1), jobID(1) + progressSuffix})
+}
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -226,9 +226,11 @@
 	s.waitingStale = true
 	j.endedUnixMS = s.unixMS
 	j.dirty = false
-	s.persist(j.ID+progressSuffix, nil)
+	// The drop of the progress comes last: without the progress and the final state, a new
+	// holder would run tasks again that are done.
 	j.endSeq = s.persist(j.ID, encode(jobRecord{Final: final, EndedUnixMS: s.unixMS, Queue: j.Queue.Name}))
 	j.recordSeq = j.endSeq
+	s.persist(j.ID+progressSuffix, nil)
 	s.endedJobs = append(s.endedJobs, j)
 	s.emit(LogEvent{Event: endEvents[final], Failed: final == Failed, Job: j.ID, Detail: j.Queue.Name, AgeMS: int64(s.now - j.accepted)})
 	if final == Completed {
--- a/internal/entry/lanes_test.go
+++ b/internal/entry/lanes_test.go
@@ -96,7 +96,8 @@
 	w := newRecordWriter(newFakeLog(), 0, 0, 1, nil)
 	w.setIndex(laneIndex{"k": laneSet(0).with(0).with(1), "only": laneSet(0).with(1)})
 	w.lane = 1
-	_, records := w.prepare([]cell.Persist{{Seq: 1, Key: "k"}, {Seq: 2, Key: "only"}})
+	_, records, drops := w.prepare([]cell.Persist{{Seq: 1, Key: "k"}, {Seq: 2, Key: "only"}})
+	w.sweepLater(drops)
 	assert.Equal(t, len(records), 1)
 	assert.Equal(t, records[0].Key, "only")
 	swept := w.sweepBatches()
@@ -109,6 +110,23 @@
 	assert.Equal(t, w.lanesToClaim(), laneSet(0).with(1))
 }
 
+// Guards against a progress record that is dropped from an older lane before the final state
+// of its job is stored: the next holder would run tasks again that are done.
+func TestKeyIsDroppedOnceItsBatchIsStored(t *testing.T) {
+	log := newFakeLog()
+	w := newRecordWriter(log, 0, 0, 1, zap.NewNop())
+	w.setIndex(laneIndex{"job": firstLane, "progress": firstLane})
+	w.setOpen(firstLane.with(1))
+	w.lane = 1
+	batch := []cell.Persist{{Seq: 1, Key: "job", Value: []byte("completed")}, {Seq: 2, Key: "progress"}}
+	log.setOutage(laneTopic(1), 0, silent)
+	assert.Assert(t, !w.write(within(300*time.Millisecond), batch))
+	assert.Equal(t, len(w.sweepBatches()), 0, "dropped although the batch is not stored")
+	log.setOutage(laneTopic(1), 0, noOutage)
+	assert.Assert(t, w.write(within(2*time.Second), batch))
+	assert.Equal(t, w.sweepBatches()[0][0].Key, "progress")
+}
+
 // A writer must not change to a lane that an earlier claim listed while a renewal without
 // that lane is on its way. If the holder ended after the renewal was stored, the next one
 // would not read the lane: acknowledged records are lost, and tasks that are done run
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -240,10 +240,11 @@
 func (w *recordWriter) write(ctx context.Context, batch []cell.Persist) bool {
 	start := clock.SinceBoot()
 	for attempt := 1; ; attempt++ {
-		lane, records := w.prepare(batch)
+		lane, records, drops := w.prepare(batch)
 		err := w.appendTo(ctx, lane, records)
 		switch {
 		case err == nil:
+			w.sweepLater(drops)
 			if attempt > 1 {
 				w.logger.Info("log_regained", zap.Int("cell", w.cell), zap.Int("lane", lane), zap.Duration("after", w.silentFor()))
 			}
@@ -306,21 +307,31 @@
 	return slices.EqualFunc(a, b, func(x, y cell.Record) bool { return x.Key == y.Key && bytes.Equal(x.Value, y.Value) })
 }
 
-// prepare returns the records of a batch for the current lane. A key that other lanes
-// hold too must be dropped there first: otherwise their older records would become the
-// newest.
-func (w *recordWriter) prepare(batch []cell.Persist) (lane int, records []cell.Record) {
+// prepare returns the records of a batch for the current lane, and the keys to be dropped
+// that other lanes hold too. These must be dropped there first: otherwise their older
+// records would become the newest.
+func (w *recordWriter) prepare(batch []cell.Persist) (lane int, records []cell.Record, drops []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	records = make([]cell.Record, 0, len(batch))
 	for _, p := range batch {
 		if p.Value == nil && w.index[p.Key].without(w.lane) != 0 {
-			w.sweep[p.Key] = true
+			drops = append(drops, p.Key)
 			continue
 		}
 		records = append(records, cell.Record{Key: p.Key, Value: withVersion(version{w.epoch, p.Seq}, p.Value)})
 	}
-	return w.lane, records
+	return w.lane, records, drops
+}
+
+// sweepLater has keys dropped from all lanes. The records of their batch must be stored: the
+// progress of a job may be dropped only once its final state is in the log.
+func (w *recordWriter) sweepLater(keys []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, key := range keys {
+		w.sweep[key] = true
+	}
 }
 
 func (w *recordWriter) indexStored(lane int, records []cell.Record) {
