Report the constraint that holds a step that waits long

Accepted steps waited for more than a minute while most workers were free, and neither the logs nor the dump told why. The event step_waits names the constraint and how many workers pass each check, at most two reports per check of the runs. fulmarlatchctl explain gives the last report as the cause for a job that has not ended.

--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -79,6 +79,7 @@
 	EventPermitsFailed      Event = "permits_failed"
 	EventStepPlaced         Event = "step_placed"
 	EventStepPlacedLate     Event = "step_placed_late"
+	EventStepWaits          Event = "step_waits"
 	EventStartRefused       Event = "start_refused"
 	EventRunFailed          Event = "run_failed"
 	EventRunHung            Event = "run_hung"
@@ -111,6 +112,7 @@
 	{EventPermitsFailed, "the policy service did not answer a call for a step; the step requests permits again", "duration of the call", "worker is the calling entry process"},
 	{EventStepPlaced, "tasks of a step were placed", "wait since the step was ready", "queue, tasks placed/all"},
 	{EventStepPlacedLate, "tasks of a step were placed after the latest start for the job's objective", "wait since the step was ready", "queue, tasks placed/all"},
+	{EventStepWaits, "a step has waited for 10 s or more; the constraint that holds it, and for each check how many workers pass it and all earlier ones, and the tasks that they take", "wait since the step was ready", "constraint, tasks needed, workers/tasks of each check"},
 	{EventStartRefused, "a worker refused a start or did not answer it, or the start was not sent", "time since the order", "outcome of the start"},
 	{EventRunFailed, "a run of a task failed", "failed runs of the task so far", "queue"},
 	{EventRunHung, "a run makes no progress and is stopped", "time without progress", "percent done"},
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -31,28 +31,29 @@
 
 // step is a step of an occurrence.
 type step struct {
-	job         *job
-	occ         *occurrence
-	index       int
-	def         *Step
-	demand      Resources
-	tasks       []*task
-	done        int
-	queued      bool    // in the list of waiting steps
-	readyAt     Instant // when the step was first queued
-	latestStart Instant // latest start for the job to meet its objective
-	expires     Instant // latest start for the job to have any value
-	permits     permits
-	failed      []uint32 // failed runs of a gang
-	failedOn    []string // workers on which a run of a task failed
-	lastRun     uint32   // highest run number of all tasks
-	checkpoint  string   // newest checkpoint of a gang
-	started     bool
-	gangEnd     Instant  // when the slowest member of a running gang is estimated to end
-	plan        gangPlan // of a gang that does not fit yet
-	nextSearch  Instant  // when to search for capacity again even if no worker has gained any
-	suspects    int      // tasks that are suspected of crashing workers
-	otherTried  bool     // a task that is not suspected was on trial since suspects was 0
+	job          *job
+	occ          *occurrence
+	index        int
+	def          *Step
+	demand       Resources
+	tasks        []*task
+	done         int
+	queued       bool    // in the list of waiting steps
+	readyAt      Instant // when the step was first queued
+	waitReported Instant // when EventStepWaits was last emitted; 0 if never
+	latestStart  Instant // latest start for the job to meet its objective
+	expires      Instant // latest start for the job to have any value
+	permits      permits
+	failed       []uint32 // failed runs of a gang
+	failedOn     []string // workers on which a run of a task failed
+	lastRun      uint32   // highest run number of all tasks
+	checkpoint   string   // newest checkpoint of a gang
+	started      bool
+	gangEnd      Instant  // when the slowest member of a running gang is estimated to end
+	plan         gangPlan // of a gang that does not fit yet
+	nextSearch   Instant  // when to search for capacity again even if no worker has gained any
+	suspects     int      // tasks that are suspected of crashing workers
+	otherTried   bool     // a task that is not suspected was on trial since suspects was 0
 }
 
 // name returns the step name as used in calls to the policy service.
@@ -290,6 +291,7 @@
 		s.dropDrained()
 		s.throttleFillers()
 		s.confirmGone()
+		s.reportWaits()
 	}
 	s.checkTrials()
 	s.place()
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -88,7 +88,7 @@
 // cancellation, refusal, late placement and repeated runs that the lines show.
 func cause(lines []Line) string {
 	count := map[string]int{}
-	var lastRefusal, lastFailure, givenUp, lateDetail string
+	var lastRefusal, lastFailure, givenUp, lateDetail, lastWait string
 	var longestWait, longestWaitMS = "", int64(0)
 	withdrawn := false // refused after it was submitted, because its record was not sent
 	for _, l := range lines {
@@ -98,6 +98,8 @@
 		switch cell.Event(event) {
 		case cell.EventRunFailed:
 			lastFailure = fmt.Sprintf("run %s of %s failed on worker %s", l.Fields["run"], l.Fields["task"], l.Fields["worker"])
+		case cell.EventStepWaits:
+			lastWait = fmt.Sprintf("%s waited %d ms, held by: %s", l.Fields["task"], age, l.Fields["detail"])
 		case cell.EventTaskGivenUp:
 			givenUp = fmt.Sprintf("%s crashed its workers, %s last", l.Fields["task"], l.Fields["worker"])
 		case cell.EventStepPlaced, cell.EventStepPlacedLate, cell.EventPermitsGiven:
@@ -139,6 +141,8 @@
 		return fmt.Sprintf("delayed by %d crashes of workers soon after the start of a task%s", count[string(cell.EventCrashSuspected)], meanwhile)
 	case count[string(cell.EventRunHung)]+count[string(cell.EventStartRefused)]+count[string(cell.EventRunFailed)] > 0:
 		return fmt.Sprintf("delayed by %d hung runs, %d refused starts, %d failed runs%s", count[string(cell.EventRunHung)], count[string(cell.EventStartRefused)], count[string(cell.EventRunFailed)], meanwhile)
+	case count[string(cell.EventJobCompleted)] == 0 && lastWait != "":
+		return "not ended: " + lastWait + meanwhile
 	case count[string(cell.EventJobCompleted)] == 0:
 		return "the logs do not show the end of the job" + meanwhile
 	case meanwhile != "":
