Place steps with a long queue of calls to the policy service

With thousands of waiting steps, accepted ones were not started within a minute although most workers were free. Class of fault: starvation by the cost of a pass and by place in the queue.

- Each renewal and each dispatch walked the whole queue of calls.
The number of waiting calls is now counted, and dispatch stops searching for callers once none is free.
- Late steps join the queue of calls only while it is short.
Workers were selected for all of them, and steps that waited for a first answer used up the tries of a pass.
- A step whose permits have just arrived is tried in any case.
Behind many failing steps it got its turn by rotation only, after the permits had expired: 1,500 calls led to 480 placements in 5 s.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -30,6 +30,25 @@
 	}
 }
 
+// awaitsFirstPermits reports whether the step needs permits and no call for it has been
+// answered, so that it cannot be placed.
+func (s *step) awaitsFirstPermits() bool {
+	return s.job.Queue.Policy != nil && !s.permits.answered && (!s.def.Gang || !s.hasAttempts())
+}
+
+// requestFirstPermits requests the first permits of a step that may be placed. Late steps
+// join the call queue only while it is short: selecting workers for thousands of them in
+// one pass would delay the calls that callers could make meanwhile.
+func (s *Scheduler) requestFirstPermits(st *step) {
+	if st.lateness(s.now) == onTime || s.queuedCalls[false]+s.queuedCalls[true] < maxLateCallsPerCaller*len(s.callers) {
+		s.requestMorePermits(st, false)
+	}
+}
+
+// maxLateCallsPerCaller is the number of calls waiting per caller up to which late steps
+// may add their first calls. One pass can pass that many calls to each caller.
+const maxLateCallsPerCaller = maxShortCalls
+
 // requestAhead requests the first permits of a step while the record of its job is being
 // stored. Both take about the same time, which urgent jobs would notice twice.
 func (s *Scheduler) requestAhead(st *step) {
@@ -44,14 +63,7 @@
 // long calls wait for their share of the callers and must not keep short ones from using
 // the rest.
 func (s *Scheduler) mayRenew(st *step) bool {
-	long := st.job.Queue.Policy.isLong(len(st.tasks))
-	waiting := 0
-	for _, other := range s.callQueue {
-		if other.isLong() == long {
-			waiting++
-		}
-	}
-	return waiting <= len(s.callers)/callersPerRenewal
+	return s.queuedCalls[st.job.Queue.Policy.isLong(len(st.tasks))] <= len(s.callers)/callersPerRenewal
 }
 
 // callersPerRenewal limits renewals: permits are renewed only while at most one call
--- a/internal/cell/permits.go
+++ b/internal/cell/permits.go
@@ -10,6 +10,7 @@
 // may run the step does not change; each permit expires and can be renewed.
 type permits struct {
 	answered   bool               // at least one call was answered
+	unused     bool               // no placement was tried since the last answer
 	allAskedAt Instant            // when the step last asked about all workers known at that time
 	nextWiden  Instant            // when the step may next search for unasked workers with free capacity
 	asked      map[string]bool    // workers named in answered calls
@@ -146,7 +147,7 @@
 		st.permits.asked = map[string]bool{}
 	}
 	s.updateAllowedShare(st, len(p.Tickets), len(p.Workers))
-	st.permits.answered = true
+	st.permits.answered, st.permits.unused = true, true
 	st.nextSearch = 0
 	for _, id := range p.Workers {
 		st.permits.asked[id] = true
@@ -181,7 +182,9 @@
 	left := workers
 	for more := s.idleCalls(); len(left) > 0 && (st.permits.calls == 0 || more > 0); more-- {
 		n := min(len(left), maxCallWorkers)
-		s.callQueue = append(s.callQueue, &permitCall{step: st, workers: left[:n]})
+		call := &permitCall{step: st, workers: left[:n]}
+		s.callQueue = append(s.callQueue, call)
+		s.queuedCalls[call.isLong()]++
 		st.permits.calls++
 		left = left[n:]
 	}
@@ -217,18 +220,27 @@
 		return cmp.Compare(a.step.latestStart, b.step.latestStart)
 	})
 	kept := s.callQueue[:0]
+	full := map[bool]bool{} // whether no caller is free, by permitCall.isLong
 	for _, call := range s.callQueue {
 		st, long := call.step, call.isLong()
 		if st.job.final != "" || st.complete() {
 			st.permits.calls--
+			s.queuedCalls[long]--
+			continue
+		}
+		if full[long] {
+			kept = append(kept, call)
 			continue
 		}
 		name := s.freeCaller(st.name(), long)
 		if name == "" || long && s.longCalls() >= max(len(s.callers)*longCallPercent/100, 1) {
+			// A short call may find all callers busy with other calls for its step only.
+			full[long] = long || s.freeCaller("", false) == ""
 			kept = append(kept, call)
 			continue
 		}
 		s.callers[name].calls[st.name()] = call
+		s.queuedCalls[long]--
 		call.sentAt = s.now
 		s.emit(RequestPermits{Caller: name, Step: st.name(), Workers: call.workers})
 	}
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -22,7 +22,8 @@
 // A placement pass tries the steps at the front of the queue until frontTries of them
 // did not fit, and then rotatingTries more steps, which change from pass to pass.
 // Trying every step would make passes over a long queue expensive; trying only the
-// front would starve all others while the first steps fit nowhere.
+// front would starve all others while the first steps fit nowhere. Steps whose permits
+// have just arrived are tried in any case, because permits expire within seconds.
 const (
 	frontTries    = 48
 	rotatingTries = 32
@@ -43,6 +44,10 @@
 			s.requestAhead(st)
 			continue
 		}
+		if st.awaitsFirstPermits() {
+			s.requestFirstPermits(st)
+			continue
+		}
 		if st.def.Gang {
 			if budget == nil {
 				budget = s.newReservationBudget()
@@ -53,9 +58,10 @@
 			continue
 		}
 		position++
-		if !s.mayFindCapacity(st) || tries >= frontTries && !s.inRotation(position) {
+		if !s.mayFindCapacity(st) || tries >= frontTries && !st.permits.unused && !s.inRotation(position) {
 			continue
 		}
+		st.permits.unused = false
 		if !s.placeTasks(st) {
 			tries++
 		}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -250,6 +250,7 @@
 	lost          map[string]*lostRuns // runs of workers that have stopped answering, by worker ID
 	trials        []*attempt           // runs of suspected tasks
 	callQueue     []*permitCall        // waiting for a caller
+	queuedCalls   map[bool]int         // number of calls in callQueue by permitCall.isLong
 	endedJobs     []*job               // in order of their end
 	scheduledJobs []*job               // jobs with future occurrences
 }
@@ -265,6 +266,7 @@
 		lost:          map[string]*lostRuns{},
 		callers:       callers{},
 		allowedShares: allowedShares{},
+		queuedCalls:   map[bool]int{},
 	}
 }
 
