Name an unmet label or size before a pending call in step_waits

A step that no worker can run was reported as waiting for the policy service, because it has no answered call either. The new case of the test failed before.

--- a/internal/cell/waits.go
+++ b/internal/cell/waits.go
@@ -95,7 +95,10 @@
 		}
 		fmt.Fprintf(&counts, " %s=%d/%d", c.name, c.workers, c.tasks)
 	}
-	if held == "" {
+	switch {
+	case held == "asked" && !st.permits.answered:
+		held = "policy_call"
+	case held == "":
 		held = "turn"
 	}
 	return fmt.Sprintf("%s need=%d%s", held, need, &counts)
@@ -114,8 +117,6 @@
 		return "runs_ending"
 	case st.suspects > 0:
 		return "crash_trial"
-	case st.job.Queue.Policy != nil && !st.permits.answered:
-		return "policy_call"
 	}
 	return ""
 }
--- a/internal/cell/waits_test.go
+++ b/internal/cell/waits_test.go
@@ -18,6 +18,7 @@
 		{"full worker", "free need=1 registered=2/2 label=2/2 usable=2/2 asked=2/2 allowed=2/2 not_avoided=2/2 free=0/0 unreserved=0/0 permit=0/0", Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}}, false},
 		{"label", "label need=1 registered=2/20 label=0/0", Step{Tasks: 20, Resources: Resources{CPUMilli: 100}, Label: "none"}, false},
 		{"gang too wide", "registered need=9 registered=2/8", Step{Tasks: 9, Resources: Resources{CPUMilli: 250}, Gang: true}, false},
+		{"label before no answer", "label need=1 registered=2/2 label=0/0", Step{Tasks: 1, Resources: Resources{CPUMilli: 600}, Label: "none"}, true},
 		{"no answer", "policy_call need=1 registered=2/2 label=2/2 usable=2/2 asked=0/0", Step{Tasks: 1, Resources: Resources{CPUMilli: 600}}, true},
 	} {
 		r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
