Set the scheduler's time for each event

What callers saw: a second run of a task began beside the first one (TWICE), and a worker had more work than its capacity (LIMIT).

Cause: the time of the scheduler was set once for a batch of up to 256 events. A start was then confirmed at a time before its response had arrived. A listing that was requested after that time, and made before the worker carried out the start, lacked the run: the run counted as ended, and its task was placed again.

Change: the time is set for each event of a batch. A listing that was requested later than a start is confirmed is made after the worker has answered the start.

Ruled out, by the logs: a refused start, a lost or restarted worker.

--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -249,10 +249,10 @@
 	s.rank(st, cands)
 	placed := 0
 	if st.suspects > 0 {
-		placed := s.placeTrials(st)
+		trials := s.placeTrials(st)
 		st.nextSearch = s.now + searchIntervalMS
-		if placed || !st.outlasted(s.now) {
-			return placed
+		if trials || !st.outlasted(s.now) {
+			return trials
 		}
 	}
 	for _, t := range st.tasks {
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -241,11 +241,14 @@
 // tick sets the scheduler's time.
 func (h *holder) tick() { h.sched.Tick(h.now(), time.Now().UnixMilli()) }
 
-// handleQueuedEvents handles queued events without waiting, up to maxEventBatch of them.
+// handleQueuedEvents handles queued events without waiting, up to maxEventBatch of them. The
+// scheduler's time is set for each event: it compares when a start was confirmed with when
+// listings were requested, and an earlier time would let it miss a run that has just started.
 func (h *holder) handleQueuedEvents() {
 	for range maxEventBatch {
 		select {
 		case e := <-h.events:
+			h.tick()
 			e.call(h.sched)
 		default:
 			return
