Take an unanswered start for no proof of a crash

What callers saw: a job was shown as failed although only one worker had crashed under its task (LOST).

Cause: a start that was sent to a worker that had just crashed, and was not answered, counted as a crash soon after the start.

Change: such a task is still suspected, and the crash counts among the five of any time, but not among the two that prove it. Only starts that the worker confirmed do.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -35,15 +35,16 @@
 // answering counts until it answers again, so that the count outlasts a takeover.
 type crashes struct {
 	total     int
-	early     int // soon after the start, since a run last outlasted crashWindowMS
+	early     int // soon after a confirmed start, since a run last outlasted crashWindowMS
 	suspected bool
 }
 
 // lostRun is a run on a worker that has stopped answering.
 type lostRun struct {
-	task  *task
-	early bool // the worker stopped answering soon after the start
-	alone bool // no other step had started a task there shortly before
+	task   *task
+	recent bool // the start was sent soon before the worker stopped answering
+	early  bool // and the worker had confirmed it
+	alone  bool // no other step had started a task there shortly before
 }
 
 // lostRuns are the runs of a worker when it stopped answering.
@@ -67,9 +68,11 @@
 	l := &lostRuns{at: s.now, incarnation: w.incarnation}
 	steps := map[*step]bool{}
 	for _, a := range w.attempts {
-		early := a.startedRecently(s.now)
-		if early {
+		recent := a.startedRecently(s.now)
+		early := recent && a.accepted
+		if recent {
 			steps[a.task.step] = true
+			s.setSuspected(a.task, true)
 		}
 		c := &a.task.crashes
 		if s.now-a.started >= steadyRunMS {
@@ -78,10 +81,9 @@
 		c.total++
 		if early {
 			c.early++
-			s.setSuspected(a.task, true)
 		}
 		s.markDirty(a.task.step.job)
-		l.runs = append(l.runs, lostRun{task: a.task, early: early})
+		l.runs = append(l.runs, lostRun{task: a.task, recent: recent, early: early})
 	}
 	for i := range l.runs {
 		l.runs[i].alone = l.runs[i].early && len(steps) == 1
@@ -111,9 +113,9 @@
 	c.total = max(c.total-1, 0)
 	if r.early {
 		c.early = max(c.early-1, 0)
-		if c.early == 0 {
-			s.setSuspected(r.task, false)
-		}
+	}
+	if r.recent && c.early == 0 {
+		s.setSuspected(r.task, false)
 	}
 	s.markDirty(r.task.step.job)
 }
--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -387,3 +387,23 @@
 	}
 	assert.Assert(t, d.now-from < 2000, "two idle workers, two tasks never started: waited %d ms", d.now-from)
 }
+
+// Guards against a task that is given up for a start that its worker, which had crashed
+// before, never carried out.
+func TestUnansweredStartIsNoProofOfACrash(t *testing.T) {
+	deadly := TaskID{Job: jobID(1)}
+	d := newDeadlyRig(t, 6, func(id TaskID) bool { return id == deadly })
+	for _, w := range d.workers {
+		w.unreachable = true // the holder does not know it yet
+	}
+	d.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	first := d.starts[0]
+	d.s.Started(first.Worker, first.Task, first.Run, StartUnanswered)
+	d.crash(first.Worker)
+	for id, w := range d.workers {
+		w.unreachable = id == first.Worker
+	}
+	d.run(30_000)
+	assert.Equal(t, d.state(jobID(1)), Failed)
+	assert.Equal(t, d.crashes, 1+provenCrashes)
+}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -211,7 +211,7 @@
 // confirm records that the worker runs the attempt.
 func (s *Scheduler) confirm(a *attempt) {
 	a.phase = running
-	a.confirmed, a.runningSince = s.now, s.now
+	a.accepted, a.confirmed, a.runningSince = true, s.now, s.now
 	if !a.resumed {
 		a.progress = progress{at: s.now, firstAt: s.now}
 	}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -110,7 +110,8 @@
 	cpuShare     int     // CPU share of a filler in percent
 	progress     progress
 	placed       bool    // started by this holder
-	runningSince Instant // when the worker confirmed the start
+	accepted     bool    // the worker has confirmed the start
+	runningSince Instant // when it did
 	onTrial      bool    // no other step starts tasks on the worker, to show whether this one crashes it
 	resumed      bool    // resumed from a checkpoint or adopted from an earlier holder
 	comparedAt   Instant // progress.at in the last speed comparison
