--- a/internal/cell/backlog_test.go
+++ b/internal/cell/backlog_test.go
@@ -19,7 +19,7 @@
 	r.submit(Job{ID: jobID(1), Queue: permitQueue(), Steps: []Step{{Tasks: 1, Resources: Resources{CPUMilli: 100}, EstimateMS: 1000}}})
 	r.advance(60_000)
 	r.s.PermitsReceived(PermitResult{Step: jobID(1) + ".0.0", Workers: []string{"w00"}, Tickets: map[string]string{"w00": "t"}, ValidForMS: 2500})
-	for range 5 { // a pass over a long queue takes 200 ms on a small machine
+	for range 5 { // a pass over a long queue takes 200 ms on a small VM
 		r.advance(200)
 	}
 	assert.Equal(t, len(r.starts), 1)
