--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -269,3 +270,139 @@
 	}
 	return outcome{"LOST", breaches}, nil
 }
+
+// playStale crashes a worker that returns under its ID, and lets the first four holds that
+// reach it then be carried out late, without an answer.
+func playStale(c *cluster, trouble bool) (outcome, error) {
+	const (
+		workers  = 7
+		traffic  = 26 * time.Second
+		interval = 100 * time.Millisecond
+		tasks    = 20
+		taskTime = 900 * time.Millisecond
+		crashAt  = 12 * time.Second
+		downFor  = 2 * time.Second
+	)
+	c.fleet.behave = func(*worker, *run) behaviour {
+		return works(taskTime/2 + rand.N(taskTime))
+	}
+	if err := begin(c, workers, smallCPU, smallMem, 300_000, 2); err != nil {
+		return outcome{}, err
+	}
+	w := c.fleet.workers[0]
+	failed := make(chan error, 1)
+	go func() {
+		if !trouble {
+			return
+		}
+		time.Sleep(crashAt)
+		c.rec.say("worker %s crashes for %v", w.id, downFor)
+		c.fleet.crash(w)
+		time.Sleep(downFor)
+		c.fleet.mu.Lock()
+		w.lateHolds = []time.Duration{5 * time.Second, 6 * time.Second, 7 * time.Second, 8 * time.Second}
+		c.fleet.mu.Unlock()
+		if err := c.fleet.restart(w); err != nil {
+			failed <- err
+		}
+	}()
+	var ended sync.WaitGroup
+	var mu sync.Mutex
+	var accepted []string
+	for start := time.Now(); time.Since(start) < traffic; time.Sleep(interval) {
+		ended.Go(func() {
+			id := jobID()
+			if c.submit(withAdvice, id, "lookup", step{"count": tasks, "cpu": 500, "memMb": 256, "estimatedMs": 900}) {
+				mu.Lock()
+				accepted = append(accepted, id)
+				mu.Unlock()
+			}
+		})
+	}
+	ended.Wait()
+	left := accepted
+	for deadline := time.Now().Add(40 * time.Second); len(left) > 0 && time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
+		left = slices.DeleteFunc(left, func(id string) bool {
+			return c.state(withAdvice, id) != "running" && c.state(withAdvice, id) != "pending"
+		})
+	}
+	c.rec.say("%d jobs accepted, %d not ended; %s", len(accepted), len(left), c.fleet.summary())
+	time.Sleep(2 * time.Second) // the last ends are acknowledged
+	select {
+	case err := <-failed:
+		return outcome{}, err
+	default:
+	}
+	return outcome{"TWICE", c.fleet.twice()}, nil
+}
+
+// playLanes lets some partitions of the store be down for a while, and later stops the holder
+// twice, as planned.
+func playLanes(c *cluster, trouble bool) (outcome, error) {
+	const (
+		traffic  = 6 * time.Second
+		interval = 100 * time.Millisecond
+		tasks    = 2
+		outage   = 4500 * time.Millisecond
+		grace    = 6 * time.Second
+	)
+	c.statusS = 30
+	c.fleet.behave = func(*worker, *run) behaviour {
+		return works(time.Second + rand.N(10*time.Second))
+	}
+	if err := begin(c, 4, workerCPU, workerMem, 300_000, 2); err != nil {
+		return outcome{}, err
+	}
+	begun := time.Now()
+	until := func(at time.Duration) { time.Sleep(time.Until(begun.Add(at))) }
+	var ended sync.WaitGroup
+	var mu sync.Mutex
+	var accepted []string
+	for time.Since(begun) < traffic {
+		ended.Go(func() {
+			id := jobID()
+			if c.submit(withAdvice, id, "lookup", step{"count": tasks, "cpu": 1000, "memMb": 256, "estimatedMs": 5000}) {
+				mu.Lock()
+				accepted = append(accepted, id)
+				mu.Unlock()
+			}
+		})
+		time.Sleep(interval)
+	}
+	ended.Wait()
+	until(7 * time.Second)
+	if trouble {
+		c.rec.say("4 of 16 partitions of the store are down for %v", outage)
+		c.store.setPartsDown("0", "1", "2", "3")
+	}
+	until(7*time.Second + outage)
+	c.store.setPartsDown()
+	until(13 * time.Second)
+	stop := func() error {
+		if !trouble {
+			return nil
+		}
+		e := c.holder()
+		if e == nil {
+			return fmt.Errorf("no process holds the cell")
+		}
+		return c.restart(e, grace)
+	}
+	if err := stop(); err != nil {
+		return outcome{}, err
+	}
+	until(24 * time.Second)
+	completed := 0
+	for _, id := range accepted {
+		if c.state(withAdvice, id) == "completed" {
+			completed++
+		}
+	}
+	c.rec.say("%d jobs accepted, %d shown as completed", len(accepted), completed)
+	until(40 * time.Second)
+	if err := stop(); err != nil {
+		return outcome{}, err
+	}
+	until(75 * time.Second)
+	return outcome{"TWICE", c.fleet.twice()}, nil
+}
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -17,6 +17,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -31,12 +32,13 @@
 	entries []*entry
 	client  *http.Client
 	next    int
+	statusS float64 // status_s in the settings
 }
 
 // entry is an entry process.
 type entry struct {
-	name, front string
-	cmd         *exec.Cmd
+	name, ip, front string
+	cmd             *exec.Cmd
 }
 
 // Names in the configuration.
@@ -54,6 +56,7 @@
 		return nil, err
 	}
 	c := &cluster{rec: rec, dir: dir, net: fmt.Sprintf("127.%d.%d", 30+rand.IntN(200), 1+rand.IntN(250))}
+	c.statusS = 120
 	c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	if c.store, err = newStore(c.net+".201", rec); err != nil {
 		return nil, err
@@ -156,7 +159,7 @@
 		"bounds": map[string]any{
 			"contactMs": 3000, "ackTimeoutMs": 4000, "drainMs": 2000, "graceS": 6, "lossSlackMs": 200, "configApplyMs": 2000, "recoveryS": 12,
 			"maxHoldMs": maxHold.Milliseconds(), "stopTimeoutMs": 400, "gangTimeoutMs": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250,
-			"finish_s": 14, "status_s": 120, "spreadFactor": 3, "checkpointS": 0.5, "restoreMs": 100, "enforceFencing": true, "leaseMs": 3000,
+			"finish_s": 14, "status_s": c.statusS, "spreadFactor": 3, "checkpointS": 0.5, "restoreMs": 100, "enforceFencing": true, "leaseMs": 3000,
 		},
 		"controlMode": "request", "advice": c.policy.address,
 		"platform": map[string]any{"address": c.store.address, "form": "log", "writesPerS": 800, "readsPerS": 2000, "parts": storePartitions, "appendMs": 3.0, "keep_s": 300},
@@ -172,12 +175,50 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &entry{name: name, front: ip + ":8161", cmd: exec.Command(words[0], words[1:]...)}
+	e := &entry{name: name, ip: ip, front: ip + ":8161", cmd: exec.Command(words[0], words[1:]...)}
 	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + c.dir, "LANG=C", "FULMARLATCH_NODE_FILE=" + path}
 	e.cmd.Stdout, e.cmd.Stderr = log, log
 	return e, e.cmd.Start()
 }
 
+// holder returns the entry process that holds the cell, according to the dumps of the
+// processes, or nil.
+func (c *cluster) holder() *entry {
+	for _, e := range c.entries {
+		response, err := c.client.Get("http://" + e.ip + ":9464/dump")
+		if err != nil {
+			continue
+		}
+		var dump struct{ Cells []struct{ Role string } }
+		err = json.NewDecoder(response.Body).Decode(&dump)
+		_ = response.Body.Close()
+		if err == nil && len(dump.Cells) > 0 && dump.Cells[0].Role == "holder" {
+			return e
+		}
+	}
+	return nil
+}
+
+// restart stops an entry process with SIGTERM, as the platform does, and starts it again.
+func (c *cluster) restart(e *entry, grace time.Duration) error {
+	c.rec.say("SIGTERM to %s", e.name)
+	old := e.cmd
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	kill := time.AfterFunc(grace, func() { _ = old.Process.Kill() })
+	defer kill.Stop()
+	err := old.Wait()
+	c.rec.say("%s has ended: %v", e.name, old.ProcessState)
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		return err
+	}
+	e.cmd = exec.Command(old.Path, old.Args[1:]...)
+	e.cmd.Env, e.cmd.Stdout, e.cmd.Stderr = old.Env, old.Stdout, old.Stderr
+	return e.cmd.Start()
+}
+
 // close ends all processes of the case and removes its folder.
 func (c *cluster) close() {
 	for _, e := range c.entries {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,8 @@
 	"poison":   playPoison,
 	"failures": playFailures,
 	"clock":    playClock,
+	"lanes":    playLanes,
+	"stale":    playStale,
 }
 
 // maxBreaches is the number of breaches that are printed.
@@ -94,10 +96,12 @@
 	return nil
 }
 
-// Capacity of a worker, as in the site file.
+// Capacity of a worker, as in the site files.
 const (
-	workerCPU = 64000
+	workerCPU = 64000 // cl-fulmar
 	workerMem = 131072
+	smallCPU  = 16000 // kvows-hq
+	smallMem  = 32768
 )
 
 // works is the behaviour of a task that takes the given time and succeeds.
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -35,6 +35,7 @@
 	changed    chan struct{} // closed and replaced when a record is added
 	partitions map[string]*partition
 	down       bool
+	partsDown  map[string]bool // numbers of partitions that are down, in all topics
 }
 
 type partition struct {
@@ -78,6 +79,17 @@
 	s.mu.Unlock()
 }
 
+// setPartsDown makes the partitions with the given numbers refuse every call with 503, in all
+// topics, and all others serve.
+func (s *store) setPartsDown(parts ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.partsDown = map[string]bool{}
+	for _, part := range parts {
+		s.partsDown[part] = true
+	}
+}
+
 func (s *store) isDown() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,9 +134,12 @@
 }
 
 // begin waits for the answer time and reports whether the call is served.
-func (s *store) begin(w http.ResponseWriter) bool {
+func (s *store) begin(w http.ResponseWriter, r *http.Request) bool {
 	time.Sleep(storeAnswer)
-	if s.isDown() {
+	s.mu.Lock()
+	down := s.down || s.partsDown[r.URL.Query().Get("part")]
+	s.mu.Unlock()
+	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return false
 	}
@@ -133,7 +148,7 @@
 
 func (s *store) handleAppend(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
-	if err != nil || !s.begin(w) {
+	if err != nil || !s.begin(w, r) {
 		return
 	}
 	q := r.URL.Query()
@@ -213,7 +228,7 @@
 }
 
 func (s *store) handleRead(w http.ResponseWriter, r *http.Request) {
-	if !s.begin(w) {
+	if !s.begin(w, r) {
 		return
 	}
 	q := r.URL.Query()
@@ -227,7 +242,7 @@
 	for {
 		s.mu.Lock()
 		p, changed := s.partition(q.Get("topic"), q.Get("part")), s.changed
-		records, down := p.records, s.down
+		records, down := p.records, s.down || s.partsDown[q.Get("part")]
 		s.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -254,7 +269,7 @@
 }
 
 func (s *store) handleNewest(w http.ResponseWriter, r *http.Request) {
-	if !s.begin(w) {
+	if !s.begin(w, r) {
 		return
 	}
 	q := r.URL.Query()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -22,6 +22,7 @@
 	listedEnds  = 500 // ends in one list
 	stopTime    = 50 * time.Millisecond
 	servingTime = 200 * time.Millisecond // startup of a task that lasts
+	noAnswer    = 5 * time.Second        // until a connection without an answer is closed
 )
 
 // behaviour says how a run goes: when it ends and how. A run with last set goes on until it
@@ -67,8 +68,11 @@
 	highest map[string]int64 // highest run that was stopped or ended, by task
 	ends    []*run           // not acknowledged
 	lastEnd int64
-	acked   int64
 	change  chan struct{} // closed and replaced when a run ends
+
+	// lateHolds says how much later each of the next holds is carried out, without an answer.
+	// Further ones are served as usual.
+	lateHolds []time.Duration
 }
 
 // run is one run of a task.
@@ -110,7 +114,7 @@
 	w.up, w.born, w.lives = true, time.Now(), w.lives+1
 	w.token, w.lease, w.lapses = 0, time.Time{}, nil
 	w.running, w.highest, w.ends = map[string]*run{}, map[string]int64{}, nil
-	w.lastEnd, w.acked, w.sequence = 0, 0, 0
+	w.lastEnd, w.sequence = 0, 0
 	w.change = make(chan struct{})
 	life := w.lives
 	mux := http.NewServeMux()
@@ -351,14 +355,15 @@
 // list, it waits for one.
 func (w *worker) hold(rw http.ResponseWriter, o *order) {
 	f := w.fleet
+	if len(w.lateHolds) > 0 {
+		delay := w.lateHolds[0]
+		w.lateHolds = w.lateHolds[1:]
+		w.holdLate(o, delay)
+	}
 	if o.DeadlineMS > 0 {
 		w.extend(o.DeadlineMS)
 	}
-	w.acked = max(w.acked, o.Acked)
-	for len(w.ends) > 0 && w.ends[0].end <= w.acked {
-		w.ends[0].noted = time.Now()
-		w.ends = w.ends[1:]
-	}
+	w.forget(o.Acked)
 	timeout := time.After(time.Duration(min(o.WaitMS, maxWaitMS)) * time.Millisecond)
 	for waiting := o.WaitMS > 0; waiting && len(w.ends) == 0; {
 		change := w.change
@@ -388,6 +393,36 @@
 	w.reply(rw, 200, map[string]any{"running": running, "finished": finished})
 }
 
+// forget forgets the ends up to a number that a call has acknowledged.
+func (w *worker) forget(acked int64) {
+	for len(w.ends) > 0 && w.ends[0].end <= acked {
+		w.ends[0].noted = time.Now()
+		w.ends = w.ends[1:]
+	}
+}
+
+// holdLate leaves a hold without an answer and carries it out later.
+func (w *worker) holdLate(o *order, delay time.Duration) {
+	w.fleet.rec.add("a hold of worker %s gets no answer and is carried out %v later: ackedThrough %d", w.id, delay, o.Acked)
+	time.AfterFunc(delay, func() {
+		w.fleet.mu.Lock()
+		defer w.fleet.mu.Unlock()
+		if !w.up || w.lives != o.life || o.Token < w.token {
+			return
+		}
+		if o.DeadlineMS > 0 {
+			w.extend(o.DeadlineMS)
+		}
+		before := len(w.ends)
+		w.forget(o.Acked)
+		w.fleet.rec.say("the hold of worker %s is carried out: ackedThrough %d, newest end %d, %d ends forgotten", w.id, o.Acked, w.lastEnd, before-len(w.ends))
+	})
+	w.fleet.mu.Unlock()
+	time.Sleep(noAnswer)
+	w.fleet.mu.Lock()
+	panic(http.ErrAbortHandler)
+}
+
 func (r *run) percent() int64 {
 	total := r.goal.time
 	if r.goal.last {
