--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -63,7 +63,6 @@
 
 	token   int64
 	lease   time.Time
-	lapses  []time.Time
 	running map[string]*run
 	highest map[string]int64 // highest run that was stopped or ended, by task
 	ends    []*run           // not acknowledged
@@ -112,7 +111,7 @@
 // begin starts a life of the worker. The fleet's mutex must be held.
 func (w *worker) begin(ln net.Listener) {
 	w.up, w.born, w.lives = true, time.Now(), w.lives+1
-	w.token, w.lease, w.lapses = 0, time.Time{}, nil
+	w.token, w.lease = 0, time.Time{}
 	w.running, w.highest, w.ends = map[string]*run{}, map[string]int64{}, nil
 	w.lastEnd, w.sequence = 0, 0
 	w.change = make(chan struct{})
@@ -210,8 +209,7 @@
 
 func (w *worker) advance() {
 	now := time.Now()
-	if now.After(w.lease) && len(w.running) > 0 {
-		w.lapses = append(w.lapses, now)
+	if now.After(w.lease) {
 		for _, end := range w.ends {
 			end.lapsed = true
 		}
@@ -251,7 +249,6 @@
 	Acked      int64  `json:"ackedThrough"`
 	WaitMS     int64  `json:"waitMs"`
 	Ticket     string `json:"ticket"`
-	Checkpoint string `json:"checkpoint"`
 
 	life int
 }
