Keep what is known of a worker's life together and replace it whole

Cause: a session kept the acknowledged ends, the latest deadline and the clock of its worker beyond a restart. A renewal with the former life's number, carried out late, made the worker forget ends that nobody had read.

Change: workerLife holds all of it and is replaced when born changes. A renewal acknowledges nothing while the last one was not answered or the last answer is over 1 s old; no start is sent to a worker that does not answer; acknowledgements of the scheduler name the incarnation.

Ruled out: an order of the scheduler's events alone, as the number was already in the renewal before any list of the new life arrived.

--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -39,11 +39,12 @@
 	Workers []string
 }
 
-// Acknowledge allows a worker to discard its ended runs up to Number. It is sent with
-// the next lease renewal.
+// Acknowledge allows an incarnation of a worker to discard its ended runs up to Number.
+// It is sent with the next lease renewal.
 type Acknowledge struct {
-	Worker string
-	Number uint64
+	Worker      string
+	Incarnation int64
+	Number      uint64
 }
 
 // Persist writes the newest record of a key; a nil Value deletes the key. The holder
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -11,7 +11,7 @@
 		registered[info.ID] = true
 		w := s.workers[info.ID]
 		if w == nil {
-			w = &worker{idHash: xxhash.Sum64String(info.ID), attempts: map[runKey]*attempt{}, unknownRuns: map[runKey]bool{}}
+			w = &worker{idHash: xxhash.Sum64String(info.ID), attempts: map[runKey]*attempt{}, life: newLife(0)}
 			s.workers[info.ID] = w
 			s.newWorkerAt = s.now + 1
 			if s.unreconciled[info.ID] == nil {
@@ -100,17 +100,16 @@
 		s.emit(LogEvent{Event: EventWorkerRestarted, Failed: true, Worker: w.ID, AgeMS: int64(len(w.attempts))})
 		s.recordLostRuns(w)
 		s.closeAttempts(w)
-		s.resetWorker(w)
+		s.beginLife(w, l.Incarnation)
 	}
 	if !w.fenced {
-		s.resetWorker(w)
+		s.beginLife(w, l.Incarnation)
 		w.fenced = true
 		s.freed = append(s.freed, w)
 	}
 	w.unreachable = false
 	s.resolveLostRuns(w.ID, l.Incarnation)
 	s.updateClosed(w)
-	w.incarnation = l.Incarnation
 	silent := w.silentBefore(l.RequestedAt)
 	w.lastListing = max(w.lastListing, l.RequestedAt)
 	for i := range l.Ended {
@@ -125,12 +124,11 @@
 	s.closeMissing(w, present, l.RequestedAt)
 }
 
-// resetWorker clears the state of an earlier incarnation of the worker.
-func (s *Scheduler) resetWorker(w *worker) {
-	w.lastEnd, w.pendingEnds = 0, nil
+// beginLife replaces what is known about the worker's former incarnation, or about the
+// one before its lease expired.
+func (s *Scheduler) beginLife(w *worker, incarnation int64) {
+	w.life = newLife(incarnation)
 	delete(s.unstored, w)
-	s.acknowledge(w, 0)
-	clear(w.unknownRuns)
 }
 
 // handleRunning processes a run that the worker reports as running, after it was silent
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -127,19 +127,12 @@
 // worker is the state and resource accounting of one worker.
 type worker struct {
 	WorkerInfo
-	idHash      uint64    // hash of the ID
-	registered  bool      // in the platform's registry
-	fenced      bool      // has sent a listing to this holder, and so rejects earlier holders
-	incarnation int64     // start time in Unix ms, from the newest listing
-	used        Resources // by attempts
-	attempts    map[runKey]*attempt
-	// unknownRuns holds runs that the worker reports but for which the Scheduler has no
-	// attempt. The worker gets no tasks until they have ended.
-	unknownRuns  map[runKey]bool
-	lastListing  Instant // when the newest listing was requested
-	lastEnd      uint64  // highest number of a processed end
-	pendingEnds  []*pendingEnd
-	acknowledged uint64 // number up to which ends are acknowledged
+	life
+	idHash       uint64    // hash of the ID
+	registered   bool      // in the platform's registry
+	fenced       bool      // has sent a listing to this holder, and so rejects earlier holders
+	used         Resources // by attempts
+	attempts     map[runKey]*attempt
 	health       health
 	speed        speed
 	avoidUntil   Instant       // no tasks are placed on the worker before
@@ -158,6 +151,23 @@
 	rosterSeq uint64
 }
 
+// life is what is known about one incarnation of a worker. Another one runs nothing and
+// numbers its ends from 1, so it gets a new life.
+type life struct {
+	incarnation int64 // start time in Unix ms, from the newest listing
+	// unknownRuns holds runs that the worker reports but for which the Scheduler has no
+	// attempt. The worker gets no tasks until they have ended.
+	unknownRuns  map[runKey]bool
+	lastListing  Instant // when the newest listing was requested
+	lastEnd      uint64  // highest number of a processed end
+	pendingEnds  []*pendingEnd
+	acknowledged uint64 // number up to which ends are acknowledged
+}
+
+func newLife(incarnation int64) life {
+	return life{incarnation: incarnation, unknownRuns: map[runKey]bool{}}
+}
+
 // pendingEnd is an ended run that may be acknowledged once the log holds the record
 // that accounts for it.
 type pendingEnd struct {
@@ -350,7 +360,7 @@
 func (s *Scheduler) acknowledge(w *worker, number uint64) {
 	if number != w.acknowledged {
 		w.acknowledged = number
-		s.emit(Acknowledge{Worker: w.ID, Number: number})
+		s.emit(Acknowledge{Worker: w.ID, Incarnation: w.incarnation, Number: number})
 	}
 }
 
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -205,10 +205,45 @@
 }
 
 type fakeWorker struct {
-	token   int64
-	running []cell.RunningTask
-	ended   []cell.EndedTask
-	number  uint64
+	token    int64
+	running  []cell.RunningTask
+	ended    []cell.EndedTask
+	number   uint64
+	restarts int64
+	bornMS   int64  // fakeClockMS at its last start
+	silent   bool   // neither renewals nor orders are carried out or answered
+	discard  uint64 // highest number acknowledged to this incarnation
+}
+
+// clockMS returns the worker's clock, which begins at 0 when it restarts.
+func (w *fakeWorker) clockMS() int64 { return fakeClockMS() - w.bornMS }
+
+// setSilent makes a worker answer nothing, or answer again.
+func (f *fakeFleet) setSilent(id string, to bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].silent = to
+}
+
+// restart replaces a worker by its next incarnation, which answers.
+func (f *fakeFleet) restart(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*f.workers[id] = fakeWorker{restarts: f.workers[id].restarts + 1, bornMS: fakeClockMS()}
+}
+
+// runsOn returns the number of tasks that run on a worker.
+func (f *fakeFleet) runsOn(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.workers[id].running)
+}
+
+// discarded returns the highest number that the worker's incarnation was allowed to discard.
+func (f *fakeFleet) discarded(id string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[id].discard
 }
 
 func newFakeFleet(n int) *fakeFleet {
@@ -241,22 +276,22 @@
 		f.mu.Lock()
 		return LeaseRenewalResult{}, &ControlError{Failure: ControlUnanswered}
 	}
-	if f.silent {
+	w := f.workers[t.ID]
+	if f.silent || w.silent {
 		f.mu.Unlock()
 		<-ctx.Done()
 		f.mu.Lock()
 		return LeaseRenewalResult{}, &ControlError{Failure: ControlUnanswered}
 	}
-	w := f.workers[t.ID]
 	if r.Token < w.token {
 		return LeaseRenewalResult{}, &ControlError{Failure: ControlFenced}
 	}
-	w.token = r.Token
+	w.token, w.discard = r.Token, max(w.discard, r.Acknowledged)
 	for len(w.ended) > 0 && w.ended[0].Number <= r.Acknowledged {
 		w.ended = w.ended[1:]
 	}
-	return LeaseRenewalResult{ClockMS: fakeClockMS(), Listing: cell.Listing{
-		Incarnation: 1, Running: append([]cell.RunningTask(nil), w.running...), Ended: append([]cell.EndedTask(nil), w.ended...),
+	return LeaseRenewalResult{ClockMS: w.clockMS(), Listing: cell.Listing{
+		Incarnation: 1 + w.restarts, Running: append([]cell.RunningTask(nil), w.running...), Ended: append([]cell.EndedTask(nil), w.ended...),
 	}}, nil
 }
 
@@ -267,24 +302,30 @@
 		f.panicStart = false
 		panic("defect")
 	}
-	if f.hangStarts {
+	w := f.workers[t.ID]
+	if f.hangStarts || w.silent {
 		f.mu.Unlock()
 		<-ctx.Done()
 		f.mu.Lock()
 		return cell.StartUnanswered, 0
 	}
-	w := f.workers[t.ID]
 	if s.Token < w.token {
-		return cell.StartFenced, fakeClockMS()
+		return cell.StartFenced, w.clockMS()
 	}
 	w.running = append(w.running, cell.RunningTask{Task: s.Task, Run: s.Run})
 	f.starts = append(f.starts, s.Task.String())
-	return cell.StartAccepted, fakeClockMS()
+	return cell.StartAccepted, w.clockMS()
 }
 
-func (f *fakeFleet) Stop(_ context.Context, t Target, s StopOrder) error {
+func (f *fakeFleet) Stop(ctx context.Context, t Target, s StopOrder) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.workers[t.ID].silent {
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return &ControlError{Failure: ControlUnanswered}
+	}
 	f.workers[t.ID].end(s.Task, s.Run, cell.EndStopped)
 	return nil
 }
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -320,7 +320,7 @@
 			h.requestPermits(a)
 		case cell.Acknowledge:
 			if s := h.sessions[a.Worker]; s != nil {
-				s.acknowledged.Store(a.Number)
+				s.acknowledge(a.Incarnation, a.Number)
 			}
 		case cell.Persist:
 			h.writer.add(a)
@@ -427,7 +427,6 @@
 		old.cancel()
 	}
 	s := newSession(h, target)
-	s.acknowledged.Store(h.sched.Acknowledged(info.ID))
 	h.sessions[info.ID] = s
 	h.spawn("the session with a worker", s.run)
 }
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +30,9 @@
 	// a silent log would prevent the renewal of the worker's lease.
 	acknowledgeTimeout      = 250 * time.Millisecond
 	acknowledgePollInterval = 5 * time.Millisecond
+	// acknowledgeWindow is how long after a response of the worker ended tasks may be
+	// acknowledged, also across a suspension of this VM. A worker takes longer to restart.
+	acknowledgeWindow = time.Second
 	// renewalRetryDelay is the delay after a renewal without a response.
 	renewalRetryDelay = 150 * time.Millisecond
 	// startWindow is how long a start order remains valid after it was sent.
@@ -63,18 +65,30 @@
 
 // session sends the orders of a holder to one worker and renews the worker's lease.
 type session struct {
-	holder       *holder
-	target       Target
-	ctx          context.Context
-	cancel       context.CancelFunc
-	acknowledged atomic.Uint64
-	startSlots   chan struct{}
+	holder     *holder
+	target     Target
+	ctx        context.Context
+	cancel     context.CancelFunc
+	startSlots chan struct{}
 
 	mu          sync.Mutex
-	clockMS     int64     // worker's clock in its newest response
-	clockAt     time.Time // when that response arrived
-	deadlineMS  int64     // latest deadline sent in a renewal or a start, on the worker's clock
-	unreachable bool      // the last renewal was not answered
+	life        workerLife
+	answering   bool // the last renewal was answered, so that life is the present one
+	unreachable bool // the last renewal was not answered
+}
+
+// workerLife is what a session knows about one incarnation of its worker. The next
+// incarnation runs nothing, numbers its ended tasks from 1 and has another clock, so
+// nothing of the former one may be used for it.
+type workerLife struct {
+	incarnation  int64 // start time in Unix ms; 0 before the first response
+	acknowledged uint64
+	clockMS      int64         // worker's clock in its newest response
+	clockAt      time.Time     // when that response arrived
+	heardAt      time.Duration // the same, since boot
+	// deadlineMS is the latest end of the lease that may be in force, on the worker's
+	// clock; 0 if the lease has expired.
+	deadlineMS int64
 }
 
 func newSession(h *holder, target Target) *session {
@@ -86,36 +100,72 @@
 // term ends or the worker is gone.
 func (s *session) run() {
 	defer s.holder.post(func(*cell.Scheduler) { s.holder.closeSession(s) })
-	fenced := false
 	for s.ctx.Err() == nil && !s.holder.isReleasing() {
-		renewal := LeaseRenewal{Token: s.holder.claim.Token, Acknowledged: s.acknowledged.Load()}
-		if fenced && !s.isUnreachable() {
-			renewal.Wait = renewalWait
-			if s.holder.hasAuthority() {
-				renewal.DeadlineMS = s.deadline(time.Duration(s.holder.node.cfg.LeaseMS) * time.Millisecond)
-			}
-		}
-		result, err := s.renew(renewal, fenced)
+		renewal := s.nextRenewal()
+		result, err := s.renew(renewal)
 		if err != nil {
 			if !s.handleRenewalError(err) {
 				return
 			}
-			fenced = false
 			clock.Sleep(s.ctx, renewalRetryDelay)
 			continue
 		}
-		fenced = true
-		s.recordClock(result.ClockMS)
-		s.holder.post(func(sched *cell.Scheduler) { sched.Listed(result.Listing) })
-		s.waitBeforeRenewal(result.Listing.Ended)
+		listing := result.Listing
+		s.recordResponse(listing.Incarnation, result.ClockMS)
+		s.holder.post(func(sched *cell.Scheduler) {
+			sched.Listed(listing)
+			s.acknowledge(listing.Incarnation, sched.Acknowledged(s.target.ID))
+		})
+		s.waitBeforeRenewal(listing.Ended)
+	}
+}
+
+// nextRenewal returns the next renewal to send. If the last one was not answered, the
+// worker may have restarted since: the renewal then only asks for a listing, because
+// acknowledgements and deadlines of a former life would apply to the present one.
+func (s *session) nextRenewal() LeaseRenewal {
+	renewal := LeaseRenewal{Token: s.holder.claim.Token}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.answering {
+		return renewal
+	}
+	renewal.Wait = renewalWait
+	if clock.SinceBoot()-s.life.heardAt < acknowledgeWindow {
+		renewal.Acknowledged = s.life.acknowledged
+	}
+	if s.holder.hasAuthority() {
+		renewal.DeadlineMS = s.life.deadline(s.leaseDuration())
 	}
+	return renewal
 }
 
-// renew sends a renewal. While the worker is not fenced, it repeats a call that has no
+// leaseDuration returns the duration of a lease on the worker's clock.
+func (s *session) leaseDuration() time.Duration {
+	return time.Duration(s.holder.node.cfg.LeaseMS) * time.Millisecond
+}
+
+// acknowledge lets the worker discard its ended tasks up to number, if it is still in
+// the given incarnation.
+func (s *session) acknowledge(incarnation int64, number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.life.incarnation == incarnation {
+		s.life.acknowledged = number
+	}
+}
+
+func (s *session) acknowledged() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.life.acknowledged
+}
+
+// renew sends a renewal. While the worker does not answer, it repeats a call that has no
 // response after hedgeDelay: a lost packet would otherwise delay the first listing, for
 // which all tasks of older jobs wait after a takeover.
-func (s *session) renew(r LeaseRenewal, fenced bool) (LeaseRenewalResult, error) {
-	if fenced {
+func (s *session) renew(r LeaseRenewal) (LeaseRenewalResult, error) {
+	if s.isAnswering() {
 		return s.renewOnce(s.ctx, r)
 	}
 	type response struct {
@@ -168,7 +218,7 @@
 		return
 	}
 	last := ended[len(ended)-1].Number
-	for start := time.Now(); s.acknowledged.Load() < last && time.Since(start) < acknowledgeTimeout; {
+	for start := time.Now(); s.acknowledged() < last && time.Since(start) < acknowledgeTimeout; {
 		clock.Sleep(s.ctx, acknowledgePollInterval)
 	}
 }
@@ -188,7 +238,7 @@
 		s.holder.post(func(sched *cell.Scheduler) { sched.WorkerReplaced(s.target.ID) })
 		return false
 	}
-	if s.setUnreachable(true) {
+	if s.setUnreachable() {
 		s.holder.logger.Warn("worker_lost", zap.String("worker", s.target.ID), zap.Error(err))
 		s.holder.post(func(sched *cell.Scheduler) { sched.WorkerUnreachable(s.target.ID) })
 	}
@@ -201,54 +251,71 @@
 // leaseExpired reports to the scheduler that nothing can run on the worker any more.
 func (s *session) leaseExpired() {
 	s.mu.Lock()
-	s.deadlineMS = 0
+	s.life.deadlineMS = 0
 	s.mu.Unlock()
 	s.holder.post(func(sched *cell.Scheduler) { sched.LeaseExpired(s.target.ID) })
 }
 
-func (s *session) isUnreachable() bool {
+func (s *session) isAnswering() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.unreachable
+	return s.answering
 }
 
-func (s *session) setUnreachable(to bool) (changed bool) {
+// setUnreachable records that a renewal was not answered, and reports whether the one
+// before it was.
+func (s *session) setUnreachable() (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed = s.unreachable != to
-	s.unreachable = to
+	changed = !s.unreachable
+	s.answering, s.unreachable = false, true
 	return changed
 }
 
-// recordClock records the worker's clock from a response, and that the worker is
-// reachable.
-func (s *session) recordClock(clockMS int64) {
+// recordResponse records a response to a renewal: the worker's incarnation and its clock
+// in ms.
+func (s *session) recordResponse(incarnation, clockMS int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unreachable {
 		s.holder.logger.Info("worker_regained", zap.String("worker", s.target.ID))
 	}
-	s.clockMS, s.clockAt, s.unreachable = clockMS, time.Now(), false
+	s.answering, s.unreachable = true, false
+	if s.life.incarnation != incarnation {
+		// An earlier holder, or a start that was sent to the former life, may have given
+		// the worker a lease, which no worker extends beyond this duration.
+		s.life = workerLife{incarnation: incarnation, deadlineMS: clockMS + s.leaseDuration().Milliseconds()}
+	}
+	s.life.clockMS, s.life.clockAt, s.life.heardAt = clockMS, time.Now(), clock.SinceBoot()
 }
 
 // deadline returns the time d from now on the worker's clock and records it as sent.
-func (s *session) deadline(d time.Duration) int64 {
+func (l *workerLife) deadline(d time.Duration) int64 {
+	at := l.clockMS + time.Since(l.clockAt).Milliseconds() + d.Milliseconds()
+	l.deadlineMS = max(l.deadlineMS, at)
+	return at
+}
+
+// startDeadline returns the deadline of a start that is sent now. It is not known while
+// the worker does not answer renewals.
+func (s *session) startDeadline() (deadlineMS int64, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := s.clockMS + time.Since(s.clockAt).Milliseconds() + d.Milliseconds()
-	s.deadlineMS = max(s.deadlineMS, at)
-	return at
+	if !s.answering {
+		return 0, false
+	}
+	return s.life.deadline(startWindow), true
 }
 
 // leaseEnd returns the time by which the worker's lease has certainly expired.
 func (s *session) leaseEnd() (time.Time, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.deadlineMS == 0 {
+	if s.life.deadlineMS == 0 {
 		return time.Time{}, false
 	}
-	left := time.Duration(maxLeaseDurationMS(s.deadlineMS-s.clockMS)) * time.Millisecond
-	return s.clockAt.Add(left + leaseEndMargin), true
+	left := time.Duration(maxLeaseDurationMS(s.life.deadlineMS-s.life.clockMS)) * time.Millisecond
+	return s.life.clockAt.Add(left + leaseEndMargin), true
 }
 
 // acquireStartSlot waits up to startSlotTimeout for a slot to send a start, and reports
@@ -281,7 +348,11 @@
 		return cell.StartNotSent
 	}
 	defer release()
-	order := StartOrder{Start: a, Token: s.holder.claim.Token, DeadlineMS: s.deadline(startWindow)}
+	deadlineMS, known := s.startDeadline()
+	if !known {
+		return cell.StartNotSent
+	}
+	order := StartOrder{Start: a, Token: s.holder.claim.Token, DeadlineMS: deadlineMS}
 	ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
 	defer cancel()
 	outcome, _ := s.holder.node.platform.Controller.Start(ctx, s.target, order)
--- /dev/null
+++ b/internal/entry/session_test.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/cell"
+	"github.com/fulmarlatch/fulmarlatch/internal/clock"
+)
+
+// A worker that restarts under its ID numbers its ended tasks from 1 again. A renewal with
+// the acknowledgement of its former incarnation made it discard ends that nobody had read,
+// and tasks that were done ran again.
+func TestRestartedWorkerKeepsItsEnds(t *testing.T) {
+	log, fleet := newFakeLog(), newFakeFleet(1)
+	n := startNode(t, "a", log, fleet)
+	eventually(t, "a holder", n.holds)
+	for job := range 3 {
+		assert.NilError(t, n.Submit(within(3*time.Second), testJob(job)))
+		eventually(t, "a start", func() bool { return fleet.started() == job+1 })
+		fleet.endAll(cell.EndDone)
+	}
+	eventually(t, "an acknowledgement", func() bool { return fleet.discarded("w0") == 3 })
+	fleet.setSilent("w0", true)
+	time.Sleep(renewalWait + renewalTimeout)
+	fleet.restart("w0")
+	// Nothing has ended in the new incarnation, so no renewal may let it discard anything.
+	time.Sleep(time.Second)
+	assert.Equal(t, fleet.discarded("w0"), uint64(0))
+	assert.NilError(t, n.Submit(within(3*time.Second), testJob(3)))
+	eventually(t, "a start", func() bool { return fleet.started() == 4 })
+	fleet.endAll(cell.EndDone)
+	eventually(t, "an acknowledgement of the new incarnation", func() bool { return fleet.discarded("w0") == 1 })
+}
+
+// testSession returns a session without a worker.
+func testSession() *session {
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{}), 0)
+	return newSession(newHolder(a, claim{Holder: "a", Term: 1}, 0), Target{ID: "w", Address: "w"})
+}
+
+// Neither an acknowledgement nor a deadline of a worker's former life may be sent to the
+// present one, also if the scheduler acknowledges ends of the former one late.
+func TestRenewalsCarryNothingOfAFormerLife(t *testing.T) {
+	s := testSession()
+	assert.Equal(t, s.nextRenewal(), LeaseRenewal{}, "the worker's life is not known yet")
+	s.recordResponse(1, 300_000)
+	s.acknowledge(1, 370)
+	assert.Equal(t, s.nextRenewal().Acknowledged, uint64(370))
+	assert.Assert(t, s.nextRenewal().DeadlineMS >= 306_000)
+
+	s.setUnreachable()
+	assert.Equal(t, s.nextRenewal(), LeaseRenewal{}, "the worker may have restarted")
+	s.acknowledge(1, 371)
+	s.recordResponse(2, 100)
+	s.acknowledge(1, 372)
+	r := s.nextRenewal()
+	assert.Equal(t, r.Acknowledged, uint64(0))
+	assert.Assert(t, r.DeadlineMS < 7000, "the deadline is %d ms on a clock that shows 100 ms", r.DeadlineMS)
+	s.acknowledge(2, 1)
+	assert.Equal(t, s.nextRenewal().Acknowledged, uint64(1))
+
+	s.setUnreachable()
+	s.recordResponse(2, 5000)
+	assert.Equal(t, s.nextRenewal().Acknowledged, uint64(1), "the worker has not restarted")
+}
+
+// While this VM is suspended, a worker may restart unnoticed.
+func TestSuspensionStopsAcknowledgements(t *testing.T) {
+	s := testSession()
+	s.recordResponse(1, 300_000)
+	s.acknowledge(1, 370)
+	s.life.heardAt = clock.SinceBoot() - acknowledgeWindow
+	assert.Equal(t, s.nextRenewal().Acknowledged, uint64(0))
+}
+
+// The deadline of a start is a time on the worker's clock. Without a known clock, the order
+// would be valid for years, and the lease would never count as expired.
+func TestStartIsNotSentToAnUnknownLife(t *testing.T) {
+	s := testSession()
+	assert.Equal(t, s.tryStart(cell.Start{}), cell.StartNotSent)
+	s.recordResponse(1, 300_000)
+	s.setUnreachable()
+	assert.Equal(t, s.tryStart(cell.Start{}), cell.StartNotSent)
+}
+
+// The lease of a worker that restarted under its ID was computed from the deadline of its
+// former life: when it was lost later, its tasks waited for as long as it had been up before.
+func TestLeaseEndsOnTheClockOfThePresentLife(t *testing.T) {
+	s := testSession()
+	s.recordResponse(1, 300_000)
+	s.nextRenewal()
+	s.setUnreachable()
+	s.recordResponse(2, 100)
+	end, known := s.leaseEnd()
+	assert.Assert(t, known, "an earlier holder may have given the worker a lease")
+	left := time.Until(end)
+	assert.Assert(t, left > 6*time.Second && left < 7*time.Second, "the lease ends in %v", left)
+	s.leaseExpired()
+	_, known = s.leaseEnd()
+	assert.Assert(t, !known, "an expired lease is reported once")
+}
