Keep an unanswered start open when its worker restarts

Callers could see a task run twice: a start that a worker has not answered when it restarts under its ID may be carried out by the next incarnation, seconds later. The scheduler closed all attempts of the former incarnation at the first list of the next one and placed the tasks elsewhere.

Change: only attempts that were confirmed before that list was requested are closed. The others stay open until their stop is answered or a later list lacks them; stops are sent again, as the session that repeated them may have ended.

Evidence: TestUnansweredStartOutlivesRestart failed before (3 starts instead of 2).

--- a/internal/cell/ends_test.go
+++ b/internal/cell/ends_test.go
@@ -122,3 +122,35 @@
 	}
 	assert.DeepEqual(t, keys, []string{jobID(1), jobID(1) + progressSuffix})
 }
+
+// Guards against a task that runs twice: a start that a worker has not answered before it
+// restarted under its ID may be carried out by the next incarnation.
+func TestUnansweredStartOutlivesRestart(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+	lasting := r.starts[0]
+	other := "w00"
+	if lasting.Worker == other {
+		other = "w01"
+	}
+	r.workers[other].unreachable = true // the start is sent but not answered
+	r.submit(oneStep(jobID(2), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+	late := r.starts[1]
+	assert.Equal(t, late.Worker, other)
+	r.endRun(lasting.Worker, lasting.Task, lasting.Run, EndDone)
+	r.advance(10)
+
+	r.now += 10
+	r.s.Tick(r.now, r.unixMS)
+	r.s.Listed(Listing{Worker: other, Incarnation: 2, RequestedAt: r.now})
+	r.s.Started(other, late.Task, late.Run, StartUnanswered)
+	r.runActions()
+	r.advance(unhealthyPauseMS)
+	assert.Equal(t, len(r.starts), 2, "the task was started again although the worker may still start it")
+
+	*r.workers[other] = fakeWorker{incarnation: 1}
+	r.s.Stopped(other, late.Task, late.Run)
+	r.advance(10)
+	r.advance(searchIntervalMS)
+	assert.Equal(t, len(r.starts), 3)
+}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -99,7 +99,7 @@
 	if w.fenced && w.incarnation != l.Incarnation {
 		s.emit(LogEvent{Event: EventWorkerRestarted, Failed: true, Worker: w.ID, AgeMS: int64(len(w.attempts))})
 		s.recordLostRuns(w)
-		s.closeAttempts(w)
+		s.closeFormerAttempts(w, l.RequestedAt)
 		s.beginLife(w, l.Incarnation)
 	}
 	if !w.fenced {
@@ -131,6 +131,23 @@
 	delete(s.unstored, w)
 }
 
+// closeFormerAttempts closes the attempts of a worker's former incarnation, after the
+// first listing of the next one. The next one may still carry out a start that it has not
+// answered, or that it answered after the listing was requested: these attempts stay open
+// until a stop is answered or a later listing lacks them.
+func (s *Scheduler) closeFormerAttempts(w *worker, requestedAt Instant) {
+	for _, a := range w.attempts {
+		switch {
+		case a.confirmed != 0 && a.confirmed < requestedAt:
+			s.closeAttempt(a)
+			s.retryAfterLoss(a)
+		case a.phase == stopping:
+			// The session that repeated the stop may have ended with the former life.
+			s.emitStop(a, "worker_restarted")
+		}
+	}
+}
+
 // handleRunning processes a run that the worker reports as running, after it was silent
 // for the given time.
 func (s *Scheduler) handleRunning(w *worker, key runKey, r *RunningTask, silent Instant) {
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -259,6 +259,11 @@
 	}
 	a.phase = stopping
 	a.confirmed = 0
+	s.emitStop(a, reason)
+}
+
+// emitStop emits a Stop action for the attempt.
+func (s *Scheduler) emitStop(a *attempt, reason string) {
 	s.emit(Stop{Worker: a.worker.ID, Task: a.task.id(), Run: a.run, Reason: reason})
 }
 
