Drop the newest record of a key last, whichever lane is current

Cause: a key that several lanes hold was dropped last from the current lane, as if that held the newest record. The holder after a change of the lane writes to lane 0 again, where the older record is; it dropped the record with the end first, and a holder that began within the next 2 s found the job as accepted.

Change: the index of the lanes knows the lane with the newest record of each key. A key that is written again is not swept any more.

Ruled out: a lane missing from the claim, as the next holder did read both lanes. TestDropsSpareTheNewestLane asked for the wrong order; TestNewestRecordIsDroppedLast is as strict and checks it for each current lane.

--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -232,13 +232,6 @@
 	*f.workers[id] = fakeWorker{restarts: f.workers[id].restarts + 1, bornMS: fakeClockMS()}
 }
 
-// runsOn returns the number of tasks that run on a worker.
-func (f *fakeFleet) runsOn(id string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.workers[id].running)
-}
-
 // discarded returns the highest number that the worker's incarnation was allowed to discard.
 func (f *fakeFleet) discarded(id string) uint64 {
 	f.mu.Lock()
--- a/internal/entry/lanechange.go
+++ b/internal/entry/lanechange.go
@@ -87,33 +87,40 @@
 // runSweep drops keys that several lanes hold, until ctx ends.
 func (w *recordWriter) runSweep(ctx context.Context) {
 	for clock.Sleep(ctx, sweepInterval) {
-		for lane, records := range w.sweepBatches() {
-			if err := w.appendTo(ctx, lane, records); err != nil {
+		for lane := range laneCount {
+			if err := w.sweepLane(ctx, lane); err != nil {
 				w.logger.Debug("records_not_swept", zap.Int("cell", w.cell), zap.Int("lane", lane), zap.Error(err))
 			}
 		}
 	}
 }
 
-// sweepBatches returns the records to append to each lane to drop keys. The current
-// lane drops a key only when no other lane holds it.
-func (w *recordWriter) sweepBatches() map[int][]cell.Record {
+// sweepLane drops keys from a lane. The keys are chosen while no other append to the lane is
+// in progress: a record that is written again under a dropped key is appended either before,
+// and its key is not chosen, or after the drop.
+func (w *recordWriter) sweepLane(ctx context.Context, lane int) error {
+	s := &w.streams[lane]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := w.sweepRecords(lane)
+	if len(records) == 0 {
+		return nil
+	}
+	return w.appendLocked(ctx, lane, records)
+}
+
+// sweepRecords returns the records to append to a lane to drop keys from it.
+func (w *recordWriter) sweepRecords(lane int) (records []cell.Record) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	out := map[int][]cell.Record{}
 	for key := range w.sweep {
-		from := w.index[key].without(w.lane)
-		if from == 0 {
-			from = w.index[key]
-		}
+		from := w.index.nextToDrop(key)
 		if from == 0 {
 			delete(w.sweep, key)
 		}
-		for _, lane := range from.lanes() {
-			if len(out[lane]) < maxSweepRecords {
-				out[lane] = append(out[lane], cell.Record{Key: key})
-			}
+		if from.has(lane) && len(records) < maxSweepRecords {
+			records = append(records, cell.Record{Key: key})
 		}
 	}
-	return out
+	return records
 }
--- a/internal/entry/lanes.go
+++ b/internal/entry/lanes.go
@@ -95,13 +95,22 @@
 }
 
 // laneIndex maps each key to the lanes that hold a record of it.
-type laneIndex map[string]laneSet
+type laneIndex map[string]keyLanes
+
+// keyLanes are the lanes that hold a record of a key. The one with the newest record must
+// be the last from which the key is dropped: without it, an older record would become the
+// newest.
+type keyLanes struct {
+	lanes   laneSet
+	newest  int
+	version version // of the newest record
+}
 
 // used returns the lanes that hold at least one record.
 func (x laneIndex) used() laneSet {
 	var all laneSet
-	for _, s := range x {
-		all |= s
+	for _, k := range x {
+		all |= k.lanes
 	}
 	return all
 }
@@ -109,15 +118,31 @@
 // update records that a lane holds the record or, if it is a drop, that the lane does
 // not hold its key.
 func (x laneIndex) update(lane int, r cell.Record) {
-	s := x[r.Key].with(lane)
+	k := x[r.Key]
 	if r.Value == nil {
-		s = s.without(lane)
+		k.lanes = k.lanes.without(lane)
+	} else {
+		// A record without a version counts as the oldest, as it does for the reader.
+		if v, _, _ := splitVersion(r); k.lanes == 0 || !v.less(k.version) {
+			k.newest, k.version = lane, v
+		}
+		k.lanes = k.lanes.with(lane)
 	}
-	if s == 0 {
+	if k.lanes == 0 {
 		delete(x, r.Key)
 	} else {
-		x[r.Key] = s
+		x[r.Key] = k
+	}
+}
+
+// nextToDrop returns the lanes from which the key may be dropped now: all but the one with
+// its newest record, or that one if it is the only one. It is empty if no lane holds the key.
+func (x laneIndex) nextToDrop(key string) laneSet {
+	k := x[key]
+	if older := k.lanes.without(k.newest); older != 0 {
+		return older
 	}
+	return k.lanes
 }
 
 // laneReader merges the records of several lanes.
--- a/internal/entry/lanes_test.go
+++ b/internal/entry/lanes_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"sync"
 	"testing"
 	"time"
@@ -84,30 +85,120 @@
 		assert.Equal(t, len(r.add(0, []cell.Record{test.first})), 0)
 		assert.Equal(t, len(r.add(2, []cell.Record{test.second})), 0)
 		assert.Equal(t, string(r.records()[0].Value), test.want, test.name)
-		assert.Equal(t, r.index["k"], laneSet(0).with(0).with(2))
+		assert.Equal(t, r.index["k"].lanes, laneSet(0).with(0).with(2))
 	}
 	assert.Equal(t, len(newLaneReader().add(0, []cell.Record{{Key: "k", Value: []byte("short")}})), 1)
 }
 
-// A key that two lanes hold must be dropped from the older lane first. If the holder
-// crashed between the two drops in the other order, the older record would become the
-// newest.
-func TestDropsSpareTheNewestLane(t *testing.T) {
-	w := newRecordWriter(newFakeLog(), 0, 0, 1, nil)
-	w.setIndex(laneIndex{"k": laneSet(0).with(0).with(1), "only": laneSet(0).with(1)})
-	w.lane = 1
-	_, records, drops := w.prepare([]cell.Persist{{Seq: 1, Key: "k"}, {Seq: 2, Key: "only"}})
-	w.sweepLater(drops)
-	assert.Equal(t, len(records), 1)
-	assert.Equal(t, records[0].Key, "only")
-	swept := w.sweepBatches()
-	assert.Equal(t, len(swept), 1)
-	assert.Equal(t, swept[0][0].Key, "k")
-	w.indexStored(0, swept[0])
-	assert.Equal(t, w.sweepBatches()[1][0].Key, "k")
-	w.indexStored(1, []cell.Record{{Key: "k"}})
-	assert.Equal(t, len(w.sweepBatches()), 0)
-	assert.Equal(t, w.lanesToClaim(), laneSet(0).with(1))
+// A key that two lanes hold must be dropped last from the lane with its newest record,
+// whichever lane is the current one. If the holder ended between the two drops in the other
+// order, the older record would become the newest: jobs that were completed or cancelled
+// ran again.
+func TestNewestRecordIsDroppedLast(t *testing.T) {
+	for _, current := range []int{0, 1, 2} {
+		w := newRecordWriter(newFakeLog(), 0, 0, 9, zap.NewNop())
+		index := laneIndex{}
+		index.update(1, cell.Record{Key: "job", Value: withVersion(version{5, 7}, []byte("completed"))})
+		index.update(0, cell.Record{Key: "job", Value: withVersion(version{5, 2}, []byte("accepted"))})
+		index.update(1, cell.Record{Key: "only", Value: withVersion(version{5, 3}, []byte("a"))})
+		w.setIndex(index)
+		w.lane = current
+		_, records, drops := w.prepare([]cell.Persist{{Seq: 1, Key: "job"}, {Seq: 2, Key: "only"}})
+		w.indexStored(current, records)
+		w.sweepLater(drops)
+		for range 3 {
+			before := w.index["job"].lanes
+			for lane := range laneCount {
+				assert.NilError(t, w.sweepLane(t.Context(), lane))
+				assert.Assert(t, w.index["job"].lanes != firstLane, "lane %d is current: the older record is left", current)
+			}
+			assert.Assert(t, before == 0 || w.index["job"].lanes != before)
+		}
+		assert.Equal(t, len(w.sweep), 0)
+		assert.Equal(t, w.lanesToClaim(), laneSet(0).with(current))
+	}
+}
+
+// A job that has ended must not be found as accepted by a new holder while its records are
+// being dropped. Completed and cancelled jobs ran again after an outage of their lane and two
+// changes of the holder, because the record with their end was dropped first.
+func TestDroppedJobDoesNotReappear(t *testing.T) {
+	log, fleet := newFakeLog(), newFakeFleet(1)
+	earlier := cell.New(cell.Config{KeepEndedMS: 1000})
+	earlier.Tick(1, 1000)
+	job := testJob(1)
+	earlier.Submit(job)
+	accepted := lastRecord(t, earlier, job.ID)
+	_, known := earlier.Cancel(job.ID)
+	assert.Assert(t, known)
+	ended := lastRecord(t, earlier, job.ID)
+	write := func(topic string, records ...cell.Record) {
+		_, err := log.Append(t.Context(), Append{Topic: topic, Records: records})
+		assert.NilError(t, err)
+	}
+	// The earlier holder changed from lane 0 to lane 1 before the job ended.
+	write(laneTopic(0), cell.Record{Key: job.ID, Value: withVersion(version{1, 1}, accepted)})
+	write(laneTopic(1), cell.Record{Key: job.ID, Value: withVersion(version{1, 2}, ended)})
+	write(topicClaims, cell.Record{Key: claimKey, Value: mustMarshal(claim{Token: 1, Term: 1, Lanes: firstLane.with(1)})})
+
+	n := startNode(t, "a", log, fleet)
+	eventually(t, "a holder", n.holds)
+	eventually(t, "the drop of the job", func() bool {
+		reader := newLaneReader()
+		for _, lane := range []int{1, 0} { // a drop between the two reads is not taken for a fault
+			records, _, err := log.Newest(t.Context(), laneTopic(lane), 0)
+			assert.NilError(t, err)
+			assert.Equal(t, len(reader.add(lane, records)), 0)
+		}
+		found, held := reader.newest[job.ID]
+		assert.Assert(t, !held || bytes.Equal(found.Value, ended), "a new holder would run the job again")
+		return !held
+	})
+}
+
+// lastRecord returns the newest record of a key that the scheduler writes.
+func lastRecord(t *testing.T, s *cell.Scheduler, key string) (value []byte) {
+	t.Helper()
+	for _, action := range s.Actions() {
+		if p, ok := action.(cell.Persist); ok && p.Key == key {
+			value = p.Value
+		}
+	}
+	assert.Assert(t, value != nil)
+	return value
+}
+
+// An older record that is written late, by the repeat of an append without a response, must
+// not pass for the newest one.
+func TestRepeatOfOlderRecordIsNotTheNewest(t *testing.T) {
+	index := laneIndex{}
+	index.update(1, cell.Record{Key: "job", Value: withVersion(version{5, 7}, []byte("completed"))})
+	index.update(0, cell.Record{Key: "job", Value: withVersion(version{5, 2}, []byte("accepted"))})
+	assert.Equal(t, index.nextToDrop("job"), firstLane)
+	index.update(2, cell.Record{Key: "job", Value: []byte("short")})
+	assert.Equal(t, index.nextToDrop("job"), firstLane.with(2))
+}
+
+// A job may be submitted again under the ID of one that has been dropped. The drops that are
+// left must not remove its record.
+func TestSweepSparesKeyThatIsWrittenAgain(t *testing.T) {
+	log := newFakeLog()
+	w := newRecordWriter(log, 0, 0, 9, zap.NewNop())
+	index := laneIndex{}
+	for lane, key := range []string{"a", "a", "b", "b"} {
+		index.update(lane%2, cell.Record{Key: key, Value: withVersion(version{5, uint64(lane)}, []byte("old"))})
+	}
+	w.setIndex(index)
+	assert.Assert(t, w.write(t.Context(), []cell.Persist{{Seq: 1, Key: "a"}, {Seq: 2, Key: "b"}, {Seq: 3, Key: "b", Value: []byte("new")}}))
+	assert.Assert(t, w.write(t.Context(), []cell.Persist{{Seq: 4, Key: "a", Value: []byte("new")}}))
+	for range 3 {
+		for lane := range laneCount {
+			assert.NilError(t, w.sweepLane(t.Context(), lane))
+		}
+	}
+	records, _, err := log.Newest(t.Context(), topicJobs, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(records), 2)
 }
 
 // Guards against a progress record that is dropped from an older lane before the final state
@@ -115,16 +206,16 @@
 func TestKeyIsDroppedOnceItsBatchIsStored(t *testing.T) {
 	log := newFakeLog()
 	w := newRecordWriter(log, 0, 0, 1, zap.NewNop())
-	w.setIndex(laneIndex{"job": firstLane, "progress": firstLane})
+	w.setIndex(laneIndex{"job": {lanes: firstLane}, "progress": {lanes: firstLane}})
 	w.setOpen(firstLane.with(1))
 	w.lane = 1
 	batch := []cell.Persist{{Seq: 1, Key: "job", Value: []byte("completed")}, {Seq: 2, Key: "progress"}}
 	log.setOutage(laneTopic(1), 0, silent)
 	assert.Assert(t, !w.write(within(300*time.Millisecond), batch))
-	assert.Equal(t, len(w.sweepBatches()), 0, "dropped although the batch is not stored")
+	assert.Equal(t, len(w.sweepRecords(0)), 0, "dropped although the batch is not stored")
 	log.setOutage(laneTopic(1), 0, noOutage)
 	assert.Assert(t, w.write(within(2*time.Second), batch))
-	assert.Equal(t, w.sweepBatches()[0][0].Key, "progress")
+	assert.Equal(t, w.sweepRecords(0)[0].Key, "progress")
 }
 
 // A writer must not change to a lane that an earlier claim listed while a renewal without
@@ -133,7 +224,7 @@
 // again.
 func TestLaneIsClosedByRenewalWithoutIt(t *testing.T) {
 	w := newRecordWriter(newFakeLog(), 0, 0, 1, zap.NewNop())
-	w.setIndex(laneIndex{"k": firstLane})
+	w.setIndex(laneIndex{"k": {lanes: firstLane}})
 	w.setOpen(firstLane.with(1)) // requested before, and confirmed after the request had timed out
 	sent := w.lanesToClaim()
 	assert.Equal(t, sent, firstLane)
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -271,6 +271,12 @@
 	s := &w.streams[lane]
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return w.appendLocked(ctx, lane, records)
+}
+
+// appendLocked is like appendTo for a caller that holds the mutex of the lane's stream.
+func (w *recordWriter) appendLocked(ctx context.Context, lane int, records []cell.Record) error {
+	s := &w.streams[lane]
 	if s.unanswered != nil {
 		repeat := sameRecords(s.unanswered, records)
 		if err := w.append(ctx, lane, s.unanswered, s.nextSequence); err != nil {
@@ -308,17 +314,21 @@
 }
 
 // prepare returns the records of a batch for the current lane, and the keys to be dropped
-// that other lanes hold too. These must be dropped there first: otherwise their older
-// records would become the newest.
+// that other lanes hold too. These are left to the sweep, which drops the newest record of
+// a key last. A key that is written again is not swept any more.
 func (w *recordWriter) prepare(batch []cell.Persist) (lane int, records []cell.Record, drops []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	records = make([]cell.Record, 0, len(batch))
 	for _, p := range batch {
-		if p.Value == nil && w.index[p.Key].without(w.lane) != 0 {
+		if p.Value == nil && w.index[p.Key].lanes.without(w.lane) != 0 {
 			drops = append(drops, p.Key)
 			continue
 		}
+		if p.Value != nil {
+			delete(w.sweep, p.Key)
+			drops = slices.DeleteFunc(drops, func(key string) bool { return key == p.Key })
+		}
 		records = append(records, cell.Record{Key: p.Key, Value: withVersion(version{w.epoch, p.Seq}, p.Value)})
 	}
 	return w.lane, records, drops
