Deny a job only with a proof that this process is still the holder

Callers got 410 for jobs that another process had accepted.

Cause: a holder that was paused past its term answered from its own memory before its next renewal showed that it had been superseded.

Change: "there is no such job", the number of pending jobs and "no worker can run the job" wait for a renewal or an append that was sent after the request and succeeded. A repeated append counts from its first call.

Ruled out: a limit on the time since the last renewal, as the next holder may claim right after a renewal that succeeded.

--- a/internal/entry/append.go
+++ b/internal/entry/append.go
@@ -12,6 +12,12 @@
 
 // append appends records to a lane and waits for the result. Errors are *AppendError.
 func (w *recordWriter) append(ctx context.Context, lane int, records []cell.Record, sequence int64) error {
+	return w.appendSentAt(ctx, lane, records, sequence, clock.SinceBoot())
+}
+
+// appendSentAt is like append for records that were first sent at a time since boot. The log
+// answers a repeat as it answered the first call, so the answer confirms that time only.
+func (w *recordWriter) appendSentAt(ctx context.Context, lane int, records []cell.Record, sequence int64, firstSent time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	sent := clock.SinceBoot()
@@ -23,7 +29,7 @@
 		Writer: &Writer{Name: "holder", Epoch: w.epoch, Sequence: sequence},
 	})
 	if err == nil {
-		w.onConfirmed(sent)
+		w.onConfirmed(min(firstSent, sent))
 		w.mu.Lock()
 		w.lastLatency = clock.SinceBoot() - sent
 		w.mu.Unlock()
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -52,13 +52,14 @@
 	mu             sync.Mutex
 	followers      map[string]*link.Link
 	cause          string
-	releasing      chan struct{} // closed when a planned release begins
-	released       chan struct{} // closed when the term has ended
-	confirmedAt    time.Duration // since boot, send time of the newest confirmed renewal or append
-	renewalSentAt  time.Duration // since boot, send time of the newest confirmed renewal
-	renewalTook    time.Duration // duration of that renewal
-	renewEarly     chan struct{} // requests a renewal before the next interval
-	priorAuthority time.Duration // how long an earlier holder may still renew leases
+	releasing      chan struct{}    // closed when a planned release begins
+	released       chan struct{}    // closed when the term has ended
+	confirmedAt    time.Duration    // since boot, send time of the newest confirmed renewal or append
+	unproven       []unprovenAnswer // in the order of their time
+	renewalSentAt  time.Duration    // since boot, send time of the newest confirmed renewal
+	renewalTook    time.Duration    // duration of that renewal
+	renewEarly     chan struct{}    // requests a renewal before the next interval
+	priorAuthority time.Duration    // how long an earlier holder may still renew leases
 }
 
 // event is a function that the control goroutine must call.
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -90,7 +90,7 @@
 		if !s.HasJob(job.ID) && !s.CanEverRun(job) {
 			e := fault.New(fault.NoCapacity, "no worker of the service can run a step of the job", "send the job again when such workers have been added")
 			e.RetryAfterMS = retryNoCapacityMS
-			reply(e)
+			h.whenProven(func() { reply(e) })
 			return
 		}
 		h.accept(s, job, reply)
@@ -113,7 +113,7 @@
 	h.post(func(s *cell.Scheduler) {
 		state, known := s.Status(id)
 		if !known {
-			reply("", noSuchJob(id))
+			h.whenProven(func() { reply("", noSuchJob(id)) })
 			return
 		}
 		reply(state, nil)
@@ -132,7 +132,7 @@
 	h.post(func(s *cell.Scheduler) {
 		seq, known := s.Cancel(id)
 		if !known {
-			reply(noSuchJob(id))
+			h.whenProven(func() { reply(noSuchJob(id)) })
 			return
 		}
 		h.whenStored(seq, func() { reply(nil) })
@@ -144,7 +144,10 @@
 		reply(0, err)
 		return
 	}
-	h.post(func(s *cell.Scheduler) { reply(s.PendingJobs(queue), nil) })
+	h.post(func(s *cell.Scheduler) {
+		jobs := s.PendingJobs(queue)
+		h.whenProven(func() { reply(jobs, nil) })
+	})
 }
 
 // await starts an asynchronous request and waits until it is answered, the term ends or
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -98,14 +98,6 @@
 	}
 }
 
-// confirm records that a renewal or append succeeded that was sent at a time since
-// boot.
-func (h *holder) confirm(at time.Duration) {
-	h.mu.Lock()
-	h.confirmedAt = max(h.confirmedAt, at)
-	h.mu.Unlock()
-}
-
 // confirmClaim records that a renewal succeeded, and the lanes that it lists.
 func (h *holder) confirmClaim(sent time.Duration, lanes laneSet) {
 	h.confirm(sent)
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -88,6 +88,7 @@
 	// unanswered is an append without a response. It is repeated before any other
 	// append.
 	unanswered []cell.Record
+	sentAt     time.Duration // since boot, when it was first sent
 }
 
 func newRecordWriter(log Log, index, partitions int, epoch int64, logger *zap.Logger) *recordWriter {
@@ -279,7 +280,7 @@
 	s := &w.streams[lane]
 	if s.unanswered != nil {
 		repeat := sameRecords(s.unanswered, records)
-		if err := w.append(ctx, lane, s.unanswered, s.nextSequence); err != nil {
+		if err := w.appendSentAt(ctx, lane, s.unanswered, s.nextSequence, s.sentAt); err != nil {
 			return err
 		}
 		w.indexStored(lane, s.unanswered)
@@ -291,6 +292,7 @@
 	if len(records) == 0 {
 		return nil // an empty append does not advance the sequence number
 	}
+	sent := clock.SinceBoot()
 	err := w.append(ctx, lane, records, s.nextSequence)
 	expected, outOfOrder := expectedSequence(err)
 	switch {
@@ -302,7 +304,7 @@
 		w.logger.Warn("append_out_of_order", zap.Int("cell", w.cell), zap.Int("lane", lane), zap.Int64("sent", s.nextSequence), zap.Int64("expected", expected))
 		s.nextSequence = expected
 	case isUnanswered(err):
-		s.unanswered = records
+		s.unanswered, s.sentAt = records, sent
 		w.indexUnanswered(lane, records)
 	}
 	return err
