Wait for the goroutines of a process when it closes

Cause, in the product: Node.Close returned while the goroutines of its terms and links still ran. Change: Close waits for them, for a second at most, and logs close_timeout if some are left.

Evidence: TestCloseWaitsForTheTerm brings it about with a renewal that does not end by itself, and failed before.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -139,10 +139,15 @@
 	return held
 }
 
-// closeTimeout limits the wait for the link listener to close.
-const closeTimeout = 200 * time.Millisecond
+// Limits of the wait for the link listener and for all goroutines when a process closes.
+// The goroutines end as soon as the calls that they make notice the end of their context.
+const (
+	closeTimeout     = 200 * time.Millisecond
+	closeTaskTimeout = time.Second
+)
 
-// Close ends all links and stops following or holding the cells.
+// Close ends all links, stops following or holding the cells and waits until all
+// goroutines of the process have ended, or closeTaskTimeout has passed.
 func (n *Node) Close() {
 	n.cancel()
 	n.mu.Lock()
@@ -153,6 +158,16 @@
 	if err := n.server.Shutdown(ctx); err != nil {
 		n.cfg.Logger.Debug("link_listener_open", zap.Error(err))
 	}
+	ended := make(chan struct{})
+	go func() {
+		n.tasks.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(closeTaskTimeout):
+		n.cfg.Logger.Warn("close_timeout", zap.Duration("after", closeTaskTimeout))
+	}
 }
 
 // Stopping reports whether a planned stop has begun.
--- a/internal/entry/term_test.go
+++ b/internal/entry/term_test.go
@@ -109,3 +109,25 @@
 	time.Sleep(600 * time.Millisecond)
 	assert.Equal(t, count(), before)
 }
+
+// A process that has closed must leave no goroutine of its term behind. One of them logged
+// the failure of a release to the logger of a test that had ended, which is a data race.
+func TestCloseWaitsForTheTerm(t *testing.T) {
+	log, fleet := newFakeLog(), newFakeFleet(1)
+	fleet.stuckRenewal = make(chan struct{})
+	n := startNode(t, "a", log, fleet)
+	eventually(t, "a holder", n.holds)
+	h, _, _ := n.agents()[0].route()
+	eventually(t, "a renewal that does not end by itself", func() bool {
+		fleet.mu.Lock()
+		defer fleet.mu.Unlock()
+		return fleet.renewals > 0
+	})
+	time.AfterFunc(300*time.Millisecond, func() { close(fleet.stuckRenewal) })
+	n.stop()
+	select {
+	case <-h.released:
+	default:
+		t.Fatal("the term has not ended")
+	}
+}
