Let TestSlowLogAcceptsJobs slow down a quiet log

The fault is the test's: its first job is there to have the log's latency measured, so no other record may be on its way. It now waits for a completed job and an idle writer first. The checks are unchanged.

--- a/internal/entry/lanes_test.go
+++ b/internal/entry/lanes_test.go
@@ -243,6 +243,7 @@
 func TestSlowLogAcceptsJobs(t *testing.T) {
 	log, fleet := newFakeLog(), newFakeFleet(2)
 	holder, _ := startPair(t, log, fleet)
+	awaitQuietLog(t, holder, fleet)
 	log.setDelay(700 * time.Millisecond)
 	assert.NilError(t, holder.Submit(within(4*time.Second), testJob(1))) // makes the holder measure the log's latency
 	var submits sync.WaitGroup
@@ -259,6 +260,21 @@
 	}
 }
 
+// awaitQuietLog waits until a job has completed and no record is waiting or being sent. A job
+// that is submitted then is the first record that the log has to store.
+func awaitQuietLog(t *testing.T, holder *testNode, fleet *fakeFleet) {
+	t.Helper()
+	job := testJob(0)
+	assert.NilError(t, holder.Submit(within(4*time.Second), job))
+	eventually(t, "a start", func() bool { return fleet.started() == 1 })
+	fleet.endAll(cell.EndDone)
+	h, _, _ := holder.agents()[0].route()
+	eventually(t, "a quiet log", func() bool {
+		state, err := holder.Status(within(time.Second), job.ID)
+		return err == nil && state == cell.Completed && h.writer.idle()
+	})
+}
+
 // An outage may drop an append without a response. It must be sent again before the
 // first call times out.
 func TestLostAppendIsSentAgain(t *testing.T) {
