Drop the progress of jobs that have ended when a holder begins

A holder that ended between the final state of a job and the drop of its progress left the progress in the log for good: the next holder skipped it. It kept its lane in the claim, and a job submitted later under the same ID resumed from it, with tasks that counted as done without having run.

Change: progress whose job has ended or has no record is dropped when the records are restored, unless some record could not be decoded.

Evidence: TestProgressOfDroppedJobIsDropped failed before.

--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -114,3 +114,6 @@
 }
 
 func isProgress(key string) bool { return strings.HasSuffix(key, progressSuffix) }
+
+// jobID returns the ID of the job whose progress the record holds.
+func (r Record) jobID() string { return strings.TrimSuffix(r.Key, progressSuffix) }
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -20,8 +20,17 @@
 			skipped = appendError(skipped, s.restoreJob(r))
 		}
 	}
+	undecodable := len(skipped) > 0
 	for _, r := range progress {
-		skipped = appendError(skipped, s.restoreProgress(r))
+		j := s.jobs[r.jobID()]
+		switch {
+		case j != nil && j.final == "":
+			skipped = appendError(skipped, s.restoreProgress(j, r))
+		case j != nil || !undecodable:
+			// The holder that dropped it ended before the drop was stored. A job that is
+			// submitted under the same ID must not resume from it.
+			s.persist(r.Key, nil)
+		}
 	}
 	// dropEndedJobs expects them in the order of their ends.
 	slices.SortFunc(s.endedJobs, func(a, b *job) int { return cmp.Compare(a.endedUnixMS, b.endedUnixMS) })
@@ -59,12 +68,7 @@
 	return nil
 }
 
-func (s *Scheduler) restoreProgress(r Record) error {
-	id := r.Key[:len(r.Key)-len(progressSuffix)]
-	j := s.jobs[id]
-	if j == nil || j.final != "" {
-		return nil // the job ended, but its progress record was not deleted
-	}
+func (s *Scheduler) restoreProgress(j *job, r Record) error {
 	var p progressRecord
 	if err := decodeRecord(r, &p); err != nil {
 		return err
--- a/internal/cell/restore_test.go
+++ b/internal/cell/restore_test.go
@@ -67,3 +67,39 @@
 	r.runActions()
 	assert.Equal(t, len(r.starts), 2)
 }
+
+// A progress record that outlives its job, because the holder ended before the drop was stored,
+// stayed in the log for ever. A job that was submitted under the same ID later resumed from it:
+// its tasks counted as done without having run.
+func TestProgressOfDroppedJobIsDropped(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	spec := oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000})
+	r.submit(spec)
+	r.endLast(EndDone)
+	progressKey := jobID(1) + progressSuffix
+	left := r.log[progressKey]
+	assert.Assert(t, left != nil)
+	for _, state := range []string{"ended", "dropped"} {
+		if state == "ended" {
+			r.endRun(r.starts[0].Worker, r.starts[0].Task, r.starts[0].Run, EndDone)
+			r.advance(10)
+			assert.Equal(t, r.state(jobID(1)), Completed)
+		} else {
+			r.advance(130_000)
+			assert.Equal(t, r.state(jobID(1)), State("unknown"))
+		}
+		r.log[progressKey] = left // its drop was not stored
+		r.takeOver(2)
+		r.advance(10)
+		assert.Assert(t, r.log[progressKey] == nil, state)
+	}
+}
+
+// The progress of a job whose record cannot be decoded must be kept.
+func TestProgressOfUndecodableJobIsKept(t *testing.T) {
+	s := New(Config{})
+	s.Tick(1, 1)
+	skipped := s.Restore([]Record{{Key: jobID(1), Value: []byte{0xff}}, {Key: jobID(1) + progressSuffix, Value: encode(progressRecord{})}})
+	assert.Equal(t, len(skipped), 1)
+	assert.Equal(t, len(s.Actions()), 0)
+}
