Send a stop again while the worker lists the run

Change: a listing that was requested more than the stop time-out and a second after the stop was emitted, and still shows the run, has it emitted again.

Evidence: TestStopIsSentAgainWhileTheRunGoesOn failed before (no second stop).

--- a/internal/cell/ends_test.go
+++ b/internal/cell/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -154,3 +155,31 @@
 	r.advance(searchIntervalMS)
 	assert.Equal(t, len(r.starts), 3)
 }
+
+// A stop that is lost, as with the session that repeated it, must be sent again while the
+// worker lists the run. Tasks of cancelled jobs, and runs that an earlier holder had started,
+// ran on to their end.
+func TestStopIsSentAgainWhileTheRunGoesOn(t *testing.T) {
+	for _, unknown := range []bool{false, true} {
+		r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+		w := r.workers["w00"]
+		w.unreachable = true // the stop is lost
+		_, known := r.s.Cancel(jobID(1))
+		assert.Assert(t, known)
+		r.runActions()
+		if unknown {
+			r.takeOver(2)
+			r.s.Listed(Listing{Worker: "w00", Incarnation: 1, RequestedAt: r.now, Running: slices.Clone(w.running)})
+			r.runActions()
+		}
+		w.unreachable = false
+		lost := len(r.stops)
+		assert.Assert(t, lost > 0)
+		r.advance(1000)
+		assert.Equal(t, len(r.stops), lost, "the stop may still be under way")
+		r.advance(500)
+		assert.Equal(t, len(r.stops), lost+1)
+		assert.Equal(t, len(w.running), 0)
+	}
+}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -119,7 +119,7 @@
 	for i := range l.Running {
 		key := runKey{l.Running[i].Task, l.Running[i].Run}
 		present[key] = true
-		s.handleRunning(w, key, &l.Running[i], silent)
+		s.handleRunning(w, key, &l.Running[i], silent, l.RequestedAt)
 	}
 	s.closeMissing(w, present, l.RequestedAt)
 }
@@ -148,22 +148,36 @@
 	}
 }
 
-// handleRunning processes a run that the worker reports as running, after it was silent
-// for the given time.
-func (s *Scheduler) handleRunning(w *worker, key runKey, r *RunningTask, silent Instant) {
+// stopRepeatMS is how long a run may be listed after its stop was emitted, beyond
+// Config.StopTimeoutMS, before the stop is emitted again, in ms. The session repeats a stop
+// without an answer more often, but no stop outlives its session.
+const stopRepeatMS = 1000
+
+// isStopOverdue reports whether a listing that was requested at the given time should lack a
+// run whose stop was emitted before.
+func (s *Scheduler) isStopOverdue(emitted, requestedAt Instant) bool {
+	return requestedAt-emitted > Instant(s.cfg.StopTimeoutMS)+stopRepeatMS
+}
+
+// handleRunning processes a run that the worker reports as running, in a listing that was
+// requested at the given time, after it was silent for another one.
+func (s *Scheduler) handleRunning(w *worker, key runKey, r *RunningTask, silent, requestedAt Instant) {
 	a := w.attempts[key]
 	if a == nil {
 		a = s.adopt(w, key)
 	}
 	if a == nil {
-		if !w.unknownRuns[key] {
-			w.unknownRuns[key] = true
+		if emitted, known := w.unknownRuns[key]; !known || s.isStopOverdue(emitted, requestedAt) {
+			w.unknownRuns[key] = s.now
 			s.emit(Stop{Worker: w.ID, Task: key.task, Run: key.run, Reason: "unknown_run"})
 		}
 		return
 	}
-	if a.phase == starting {
+	switch {
+	case a.phase == starting:
 		s.confirm(a)
+	case a.phase == stopping && s.isStopOverdue(a.stopEmitted, requestedAt):
+		s.emitStop(a, "stop_overdue")
 	}
 	a.updateProgress(s.now, r, silent)
 	s.updateCheckpoint(a.task, a.run, r.Checkpoint)
--- a/internal/cell/roster_test.go
+++ b/internal/cell/roster_test.go
@@ -128,7 +128,7 @@
 func TestRosterNamesUnknownRuns(t *testing.T) {
 	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	id := TaskID{Job: jobID(1)}
-	r.s.workers["w00"].unknownRuns[runKey{id, 1}] = true
+	r.s.workers["w00"].unknownRuns[runKey{id, 1}] = r.now
 	r.silence("w00")
 	var stored roster
 	assert.NilError(t, decodeRecord(Record{rosterKey, r.log[rosterKey]}, &stored))
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -106,6 +106,7 @@
 	demand       Resources
 	started      Instant
 	confirmed    Instant // when the worker confirmed the start or the stop
+	stopEmitted  Instant // when a stop was last emitted
 	load         int64   // last reported value of RunningTask.Load
 	cpuShare     int     // CPU share of a filler in percent
 	progress     progress
@@ -156,8 +157,9 @@
 type life struct {
 	incarnation int64 // start time in Unix ms, from the newest listing
 	// unknownRuns holds runs that the worker reports but for which the Scheduler has no
-	// attempt. The worker gets no tasks until they have ended.
-	unknownRuns  map[runKey]bool
+	// attempt, and when their stop was last emitted. The worker gets no tasks until they
+	// have ended.
+	unknownRuns  map[runKey]Instant
 	lastListing  Instant // when the newest listing was requested
 	lastEnd      uint64  // highest number of a processed end
 	pendingEnds  []*pendingEnd
@@ -165,7 +167,7 @@
 }
 
 func newLife(incarnation int64) life {
-	return life{incarnation: incarnation, unknownRuns: map[runKey]bool{}}
+	return life{incarnation: incarnation, unknownRuns: map[runKey]Instant{}}
 }
 
 // pendingEnd is an ended run that may be acknowledged once the log holds the record
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -264,6 +264,7 @@
 
 // emitStop emits a Stop action for the attempt.
 func (s *Scheduler) emitStop(a *attempt, reason string) {
+	a.stopEmitted = s.now
 	s.emit(Stop{Worker: a.worker.ID, Task: a.task.id(), Run: a.run, Reason: reason})
 }
 
