Send no start whose lease outlasts what the next holder waits for

A holder without the log for over 3 s stopped renewing leases but went on starting tasks, and each start prolongs the lease by 2 s.

Change: a start is not sent from 7 s after the last confirmation on: the lease that it gives then ends within authorityPeriod and one lease of that confirmation, which the next holder waits for. Outages of the log that are usual (4.5 s) stop nothing.

Evidence: TestStartsEndWithTheAuthority; the former code has no such check.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -282,8 +282,7 @@
 	}
 	s.answering, s.unreachable = true, false
 	if s.life.incarnation != incarnation {
-		// An earlier holder, or a start that was sent to the former life, may have given
-		// the worker a lease, which no worker extends beyond this duration.
+		// An earlier holder may have given the worker a lease of this duration.
 		s.life = workerLife{incarnation: incarnation, deadlineMS: clockMS + s.leaseDuration().Milliseconds()}
 	}
 	s.life.clockMS, s.life.clockAt, s.life.heardAt = clockMS, time.Now(), clock.SinceBoot()
@@ -296,12 +295,14 @@
 	return at
 }
 
-// startDeadline returns the deadline of a start that is sent now. It is not known while
-// the worker does not answer renewals.
-func (s *session) startDeadline() (deadlineMS int64, known bool) {
+// startDeadline returns the deadline of a start that is sent now, and whether one may be
+// sent: the worker must answer renewals, or its clock is not known, and the lease that the
+// start gives must end before a next holder that does not reach the worker places its tasks
+// elsewhere.
+func (s *session) startDeadline() (deadlineMS int64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.answering {
+	if !s.answering || s.holder.sinceConfirmed() >= authorityPeriod+s.leaseDuration()-startWindow {
 		return 0, false
 	}
 	return s.life.deadline(startWindow), true
@@ -348,8 +349,8 @@
 		return cell.StartNotSent
 	}
 	defer release()
-	deadlineMS, known := s.startDeadline()
-	if !known {
+	deadlineMS, ok := s.startDeadline()
+	if !ok {
 		return cell.StartNotSent
 	}
 	order := StartOrder{Start: a, Token: s.holder.claim.Token, DeadlineMS: deadlineMS}
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -102,3 +102,20 @@
 	_, known = s.leaseEnd()
 	assert.Assert(t, !known, "an expired lease is reported once")
 }
+
+// A holder that has been without the log for long, as after a pause of its process, must not
+// start tasks any more: each start prolongs a lease, and the next holder may start the
+// worker's tasks elsewhere once it has waited for the leases.
+func TestStartsEndWithTheAuthority(t *testing.T) {
+	s := testSession()
+	s.recordResponse(1, 300_000)
+	lease := 6 * time.Second
+	s.holder.confirmedAt = clock.SinceBoot() - authorityPeriod
+	deadlineMS, ok := s.startDeadline()
+	assert.Assert(t, ok, "an outage of the log that is usual must not keep tasks from starting")
+	assert.Assert(t, deadlineMS < 300_000+(startWindow+time.Second).Milliseconds())
+	s.holder.confirmedAt = clock.SinceBoot() - authorityPeriod - lease + startWindow
+	_, ok = s.startDeadline()
+	assert.Assert(t, !ok)
+	assert.Equal(t, s.tryStart(cell.Start{}), cell.StartNotSent)
+}
