Count a crash only for runs that were at work

Change: a run counts if it began after the renewal that failed was sent, which would have been answered at its end, or if less than half of its estimated time had passed by then.

Evidence: TestRunThatMayHaveEndedIsNoProofOfACrash fails without the check. Ruled out: an end that was read late, as ends are handled before the crash in the order of events.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -54,14 +54,31 @@
 	runs        []lostRun
 }
 
+// surelyRunningShare is the share of its estimated run time after which a run may have ended
+// by itself. Estimates of callers are off by half.
+const surelyRunningShare = 0.5
+
+// mayHaveEnded reports whether the run may have ended by itself, with its end unread, before
+// its worker stopped answering a renewal that was sent at the given time. While a renewal
+// waits at the worker, each end is answered at once; an end before it is read only with its
+// answer.
+func (a *attempt) mayHaveEnded(renewalSentAt Instant) bool {
+	if !a.accepted || a.task.step.def.LongRunning || a.runningSince >= renewalSentAt {
+		return false
+	}
+	return float64(renewalSentAt-a.runningSince) >= surelyRunningShare*float64(a.estimatedEnd-a.runningSince)
+}
+
 // startedRecently reports whether this holder has started the run within crashWindowMS.
 func (a *attempt) startedRecently(now Instant) bool {
 	return a.placed && (a.phase == starting || now-max(a.started, a.runningSince) <= crashWindowMS)
 }
 
-// recordLostRuns counts a crash for the runs of a worker that has stopped answering, and
-// suspects the tasks that were started shortly before.
-func (s *Scheduler) recordLostRuns(w *worker) {
+// recordLostRuns counts a crash for the runs of a worker that has not answered a renewal sent
+// at the given time, and suspects the tasks that were started shortly before. Runs that may
+// have ended before the crash are no evidence: giving up a sound job costs its caller more than
+// another trial costs.
+func (s *Scheduler) recordLostRuns(w *worker, renewalSentAt Instant) {
 	if s.lost[w.ID] != nil || w.Draining || w.cordoned {
 		return // the end of a worker that leaves is no crash
 	}
@@ -72,6 +89,11 @@
 		early := recent && a.accepted
 		if recent {
 			steps[a.task.step] = true
+		}
+		if a.mayHaveEnded(renewalSentAt) {
+			continue
+		}
+		if recent {
 			s.setSuspected(a.task, true)
 		}
 		c := &a.task.crashes
--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -47,7 +47,7 @@
 	d.crashes++
 	d.workers[id].unreachable = true
 	d.down[id] = d.now + crashDowntimeMS
-	d.s.WorkerUnreachable(id)
+	d.s.WorkerUnreachable(id, d.now)
 }
 
 // replace registers another worker in place of one that has crashed.
@@ -56,7 +56,7 @@
 	i := slices.IndexFunc(d.infos, func(info WorkerInfo) bool { return info.ID == id })
 	d.infos[i].ID = fmt.Sprintf("%s-%d", id, d.now)
 	d.workers[d.infos[i].ID] = &fakeWorker{}
-	d.s.WorkerReplaced(id)
+	d.s.WorkerReplaced(id, d.now)
 	d.s.SetWorkers(d.infos)
 }
 
@@ -145,7 +145,7 @@
 	worker := d.starts[0].Worker
 	for range 4 {
 		d.workers[worker].unreachable = true
-		d.s.WorkerUnreachable(worker)
+		d.s.WorkerUnreachable(worker, d.now)
 		d.run(400)
 		d.workers[worker].unreachable = false
 		d.run(400)
@@ -220,7 +220,7 @@
 			for n := 0; n < 6 && d.state(jobID(1)) != Failed; n++ {
 				id := d.starts[len(d.starts)-1].Worker
 				d.workers[id].unreachable = true
-				d.s.WorkerUnreachable(id)
+				d.s.WorkerUnreachable(id, d.now)
 				if test.unregister {
 					d.s.SetWorkers(slices.DeleteFunc(slices.Clone(d.infos), func(info WorkerInfo) bool { return info.ID == id }))
 				}
@@ -273,7 +273,7 @@
 		d.run(500)
 		d.takeOver(term)
 		for id := range d.down {
-			d.s.WorkerUnreachable(id)
+			d.s.WorkerUnreachable(id, d.now)
 		}
 		d.run(crashDowntimeMS)
 	}
@@ -316,7 +316,7 @@
 	d.run(2000)
 	cut := func(id string) {
 		d.workers[id].unreachable = true
-		d.s.WorkerUnreachable(id)
+		d.s.WorkerUnreachable(id, d.now)
 	}
 	on := func(index int) string {
 		a := d.s.task(TaskID{Job: jobID(1), Index: index}).attempts
@@ -374,7 +374,7 @@
 	first := d.starts[len(d.starts)-1]
 	assert.Equal(t, first.Task.Job, jobID(1))
 	d.workers[first.Worker].unreachable = true
-	d.s.WorkerUnreachable(first.Worker)
+	d.s.WorkerUnreachable(first.Worker, d.now)
 	for _, st := range d.starts {
 		if st.Task.Job != jobID(1) {
 			d.endRun(st.Worker, st.Task, st.Run, EndDone)
@@ -407,3 +407,26 @@
 	assert.Equal(t, d.state(jobID(1)), Failed)
 	assert.Equal(t, d.crashes, 1+provenCrashes)
 }
+
+// Guards against a sound job that is given up because two workers crashed after a run of its
+// task had ended there, with the end unread. First seen as soak seed 1.
+func TestRunThatMayHaveEndedIsNoProofOfACrash(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		sentAfter Instant // when the renewal that failed was sent, from the start of the run
+		want      crashes
+	}{
+		{"the renewal was waiting when the run started", 0, crashes{total: 1, early: 1, suspected: true}},
+		{"the run had just started", 90, crashes{total: 1, early: 1, suspected: true}},
+		{"the run may have ended", 150, crashes{}},
+		{"the run should have ended", 390, crashes{}},
+	} {
+		d := newDeadlyRig(t, 2, func(TaskID) bool { return false })
+		d.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 200}))
+		id, started := d.starts[0].Worker, d.now
+		d.run(400)
+		d.workers[id].unreachable = true
+		d.s.WorkerUnreachable(id, started+test.sentAfter)
+		assert.Equal(t, d.s.task(d.starts[0].Task).crashes, test.want, test.name)
+	}
+}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -64,11 +64,11 @@
 }
 
 // WorkerReplaced reports that a worker has ended and that another one answers at its
-// address. Like LeaseExpired, it has the tasks placed again, and it counts a crash for
-// each of them.
-func (s *Scheduler) WorkerReplaced(workerID string) {
+// address, as the answer to a renewal that was sent at the given time. Like LeaseExpired, it
+// has the tasks placed again, and it counts a crash for those that were running.
+func (s *Scheduler) WorkerReplaced(workerID string, renewalSentAt Instant) {
 	if w := s.workers[workerID]; w != nil {
-		s.recordLostRuns(w)
+		s.recordLostRuns(w, renewalSentAt)
 	}
 	s.LeaseExpired(workerID)
 	s.confirmCrash(workerID)
@@ -98,7 +98,7 @@
 	}
 	if w.fenced && w.incarnation != l.Incarnation {
 		s.emit(LogEvent{Event: EventWorkerRestarted, Failed: true, Worker: w.ID, AgeMS: int64(len(w.attempts))})
-		s.recordLostRuns(w)
+		s.recordLostRuns(w, l.RequestedAt)
 		s.closeFormerAttempts(w, l.RequestedAt)
 		s.beginLife(w, l.Incarnation)
 	}
--- a/internal/cell/odd_worker_test.go
+++ b/internal/cell/odd_worker_test.go
@@ -14,7 +14,7 @@
 	r := newRig(t, 5, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	r.infos = append(r.infos, WorkerInfo{ID: "i-\xff\xfe", Service: "svc", Capacity: Resources{CPUMilli: 1000, MemoryMB: 1000}})
 	r.s.SetWorkers(r.infos)
-	r.s.WorkerUnreachable("i-\xff\xfe")
+	r.s.WorkerUnreachable("i-\xff\xfe", r.now)
 	r.advance(closingDelayMS)
 	r.submit(oneStep(jobID(1), Step{Tasks: 4, Resources: Resources{CPUMilli: 1000}, EstimateMS: 9000}))
 	assert.Equal(t, len(r.starts), 4)
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -31,12 +31,12 @@
 // worker may get tasks.
 func (s *Scheduler) isInRoster(w *worker) bool { return w.rosterSeq <= s.stored }
 
-// WorkerUnreachable reports that a worker did not answer a renewal of its lease. It gets
-// no tasks until its next listing; its runs continue.
-func (s *Scheduler) WorkerUnreachable(workerID string) {
+// WorkerUnreachable reports that a worker did not answer a renewal of its lease that was sent
+// at the given time. It gets no tasks until its next listing; its runs continue.
+func (s *Scheduler) WorkerUnreachable(workerID string, renewalSentAt Instant) {
 	if w := s.workers[workerID]; w != nil {
 		w.unreachable = true
-		s.recordLostRuns(w)
+		s.recordLostRuns(w, renewalSentAt)
 		s.updateClosed(w)
 	}
 }
--- a/internal/cell/roster_test.go
+++ b/internal/cell/roster_test.go
@@ -9,7 +9,7 @@
 // silence makes a worker unreachable and lets the Scheduler notice it.
 func (r *rig) silence(id string) {
 	r.workers[id].unreachable = true
-	r.s.WorkerUnreachable(id)
+	r.s.WorkerUnreachable(id, r.now)
 	r.advance(closingDelayMS)
 }
 
@@ -104,7 +104,7 @@
 	r.endLast(EndDone)
 	r.submit(oneStep(jobID(2), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
 	r.logDown = true
-	r.s.WorkerUnreachable("w00")
+	r.s.WorkerUnreachable("w00", r.now)
 	r.advance(closingDelayMS / 2)
 	r.endLast(EndDone)
 	assert.Equal(t, len(r.starts), 3)
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -104,7 +104,7 @@
 		renewal := s.nextRenewal()
 		result, err := s.renew(renewal)
 		if err != nil {
-			if !s.handleRenewalError(err) {
+			if !s.handleRenewalError(err, result.Listing.RequestedAt) {
 				return
 			}
 			clock.Sleep(s.ctx, renewalRetryDelay)
@@ -199,7 +199,8 @@
 	}
 }
 
-// renewOnce makes one call that renews the worker's lease.
+// renewOnce makes one call that renews the worker's lease. Also if it fails, the result has
+// the time at which it was sent.
 func (s *session) renewOnce(ctx context.Context, r LeaseRenewal) (LeaseRenewalResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+renewalTimeout)
 	defer cancel()
@@ -223,8 +224,9 @@
 	}
 }
 
-// handleRenewalError handles a failed renewal and reports whether the session continues.
-func (s *session) handleRenewalError(err error) bool {
+// handleRenewalError handles a renewal that failed and was sent at the given time, and reports
+// whether the session continues.
+func (s *session) handleRenewalError(err error, sentAt cell.Instant) bool {
 	var c *ControlError
 	if errors.As(err, &c) && c.Failure == ControlFenced {
 		s.holder.endTerm("worker_fenced")
@@ -235,12 +237,12 @@
 	}
 	if errors.As(err, &c) && c.Failure == ControlReplaced {
 		s.holder.logger.Info("worker_gone", zap.String("worker", s.target.ID))
-		s.holder.post(func(sched *cell.Scheduler) { sched.WorkerReplaced(s.target.ID) })
+		s.holder.post(func(sched *cell.Scheduler) { sched.WorkerReplaced(s.target.ID, sentAt) })
 		return false
 	}
 	if s.setUnreachable() {
 		s.holder.logger.Warn("worker_lost", zap.String("worker", s.target.ID), zap.Error(err))
-		s.holder.post(func(sched *cell.Scheduler) { sched.WorkerUnreachable(s.target.ID) })
+		s.holder.post(func(sched *cell.Scheduler) { sched.WorkerUnreachable(s.target.ID, sentAt) })
 	}
 	if at, known := s.leaseEnd(); known && time.Now().After(at) {
 		s.leaseExpired()
