Take no run for gone because of a full list of ends

Cause: a worker lists 500 ends at most. A run that ended beyond them stood in neither list and was taken for gone; a new holder took such a list for the worker's last word on restored tasks.

Change: a list of 500 ends is incomplete. It closes no attempt, and a new holder waits for a complete one. No bound on starts is needed: attempts without a listed end keep their resources.

Evidence: TestRunBeyondTheListedEndsIsNotGone fails with the check taken out.

--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -204,6 +204,9 @@
 	RequestedAt Instant
 	Running     []RunningTask
 	Ended       []EndedTask
+	// EndsOmitted is set if the worker may hold more ended tasks than Ended lists. A run
+	// that the listing lacks may have ended then.
+	EndsOmitted bool
 }
 
 // WorkerInfo describes a worker as the platform's registry lists it.
--- a/internal/cell/ends_test.go
+++ b/internal/cell/ends_test.go
@@ -183,3 +183,32 @@
 		assert.Equal(t, len(w.running), 0)
 	}
 }
+
+// A worker lists a limited number of ended tasks. Runs that had ended beyond them were taken
+// for gone, and done tasks ran again, also under the next holder.
+func TestRunBeyondTheListedEndsIsNotGone(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		r.advance(10)
+		r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 500}, EstimateMS: 1000}))
+		assert.Equal(t, len(r.starts), 2)
+		w := r.workers["w00"]
+		for _, start := range r.starts {
+			r.endRun("w00", start.Task, start.Run, EndDone)
+		}
+		if takeover {
+			w.omitted = 1
+			r.takeOver(2)
+		}
+		for range 3 {
+			w.omitted = 1 // the second end
+			r.advance(7000)
+		}
+		assert.Equal(t, len(r.starts), 2, "takeover: %t", takeover)
+		assert.Equal(t, r.state(jobID(1)), Running)
+		w.omitted = 0
+		r.advance(10)
+		assert.Equal(t, len(r.starts), 2)
+		assert.Equal(t, r.state(jobID(1)), Completed)
+	}
+}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -91,7 +91,9 @@
 
 // Listed processes a worker's report of its running and ended tasks.
 func (s *Scheduler) Listed(l Listing) {
-	s.markReconciled(l.Worker)
+	if !l.EndsOmitted {
+		s.markReconciled(l.Worker)
+	}
 	w := s.workers[l.Worker]
 	if w == nil {
 		return
@@ -111,7 +113,7 @@
 	s.resolveLostRuns(w.ID, l.Incarnation)
 	s.updateClosed(w)
 	silent := w.silentBefore(l.RequestedAt)
-	w.lastListing = max(w.lastListing, l.RequestedAt)
+	w.lastListing, w.endsOmitted = max(w.lastListing, l.RequestedAt), l.EndsOmitted
 	for i := range l.Ended {
 		s.handleEnd(w, &l.Ended[i])
 	}
@@ -121,7 +123,9 @@
 		present[key] = true
 		s.handleRunning(w, key, &l.Running[i], silent, l.RequestedAt)
 	}
-	s.closeMissing(w, present, l.RequestedAt)
+	if !l.EndsOmitted {
+		s.closeMissing(w, present, l.RequestedAt)
+	}
 }
 
 // beginLife replaces what is known about the worker's former incarnation, or about the
--- a/internal/cell/rig_test.go
+++ b/internal/cell/rig_test.go
@@ -33,6 +33,7 @@
 	number      uint64
 	unreachable bool // does not answer the holder
 	incarnation int64
+	omitted     int // ended tasks that its listings leave out
 }
 
 func newRig(t *testing.T, workers int, capacity Resources) *rig {
@@ -77,7 +78,8 @@
 		}
 	}
 	w.ended = kept
-	r.s.Listed(Listing{Worker: id, Incarnation: 1 + w.incarnation, RequestedAt: r.now, Running: append([]RunningTask(nil), w.running...), Ended: append([]EndedTask(nil), w.ended...)})
+	listed := w.ended[:max(len(w.ended)-w.omitted, 0)]
+	r.s.Listed(Listing{Worker: id, Incarnation: 1 + w.incarnation, RequestedAt: r.now, Running: append([]RunningTask(nil), w.running...), Ended: append([]EndedTask(nil), listed...), EndsOmitted: w.omitted > 0})
 }
 
 // runActions carries out the Scheduler's actions until there are none.
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -185,9 +185,11 @@
 	}
 	age, silent := int64(s.now-s.restoredAt), 0
 	if s.now >= s.cfg.RestoreUntil {
-		silent = len(s.unreconciled)
 		for id := range s.unreconciled {
-			s.markReconciled(id)
+			if !s.awaitsEnds(id) {
+				silent++
+				s.markReconciled(id)
+			}
 		}
 	}
 	if !s.resumed && s.mayPlaceRestored() {
@@ -200,10 +202,26 @@
 	}
 }
 
+// awaitsEnds reports whether a worker answers but has not listed all of its ended tasks yet.
+func (s *Scheduler) awaitsEnds(workerID string) bool {
+	w := s.workers[workerID]
+	return w != nil && w.fenced && w.endsOmitted
+}
+
 // Settled reports whether all tasks of restored jobs may be placed: every worker that
-// may be running one has sent a listing or can run nothing any more, or
-// Config.RestoreUntil has passed.
-func (s *Scheduler) Settled() bool { return len(s.unreconciled) == 0 || s.now >= s.cfg.RestoreUntil }
+// may be running one has sent a complete listing or can run nothing any more, or
+// Config.RestoreUntil has passed and all that answer have sent one.
+func (s *Scheduler) Settled() bool {
+	if s.now < s.cfg.RestoreUntil {
+		return len(s.unreconciled) == 0
+	}
+	for id := range s.unreconciled {
+		if s.awaitsEnds(id) {
+			return false
+		}
+	}
+	return true
+}
 
 // mayPlaceRestored reports whether tasks of restored jobs may be placed unless they have
 // an attempt or are held.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -161,6 +161,7 @@
 	// have ended.
 	unknownRuns  map[runKey]Instant
 	lastListing  Instant // when the newest listing was requested
+	endsOmitted  bool    // the newest listing may lack ended tasks
 	lastEnd      uint64  // highest number of a processed end
 	pendingEnds  []*pendingEnd
 	acknowledged uint64 // number up to which ends are acknowledged
