Avoid workers where runs failed only while most others can run the step

For queues with a policy the bound counted workers that were gone.

Change: none is avoided once runs have failed on half of the workers that can run the step now.

Evidence: TestStepReturnsToWorkersWhereRunsFailed and TestWorkerWhereARunFailedIsTakenIfOthersAreGone failed before.

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -149,8 +149,9 @@
 // unfinished task plus spareWorkers at most.
 func (s *Scheduler) workersToRenew(st *step) []string {
 	var ids []string
+	avoided := s.avoided(st)
 	s.eachAllowed(st, func(w *worker) {
-		if s.isEligible(st, w) && !st.avoids(w) && s.fitCount(st, w) > 0 {
+		if s.isEligible(st, w) && !slices.Contains(avoided, w.ID) && s.fitCount(st, w) > 0 {
 			ids = append(ids, w.ID)
 		}
 	})
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -126,8 +126,9 @@
 func (s *Scheduler) placesNow(st *step) []gangPlace {
 	var places []gangPlace
 	fits := 0
+	avoided := s.avoided(st)
 	s.eachAllowed(st, func(w *worker) {
-		if !s.isEligible(st, w) || st.avoids(w) {
+		if !s.isEligible(st, w) || slices.Contains(avoided, w.ID) {
 			return
 		}
 		if n := s.fitCount(st, w); n > 0 {
@@ -218,8 +219,9 @@
 func (s *Scheduler) planGang(st *step) []gangPlace {
 	var workers []*worker
 	times := []Instant{s.now}
+	avoided := s.avoided(st)
 	s.eachAllowed(st, func(w *worker) {
-		if !s.isEligible(st, w) || st.avoids(w) || w.health.probation {
+		if !s.isEligible(st, w) || slices.Contains(avoided, w.ID) || w.health.probation {
 			return
 		}
 		workers = append(workers, w)
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -314,8 +314,9 @@
 // candidates returns the permitted workers with free capacity, and reports whether
 // there is capacity on workers whose permit is not valid.
 func (s *Scheduler) candidates(st *step) (cands []candidate, fitsWithoutPermit bool) {
+	avoided := s.avoided(st)
 	s.eachAllowed(st, func(w *worker) {
-		if !s.isEligible(st, w) || st.avoids(w) {
+		if !s.isEligible(st, w) || slices.Contains(avoided, w.ID) {
 			return
 		}
 		n := s.fitCount(st, w)
@@ -347,12 +348,28 @@
 	}
 }
 
-// avoids reports whether the step avoids the worker because a run failed there.
+// avoided returns the IDs of the workers that the step avoids because a run failed there.
 // Otherwise a worker on which everything fails could use up all attempts of a task. If
-// runs failed on half of the allowed workers, the task is considered to be at fault.
-func (s *step) avoids(w *worker) bool {
-	return len(s.failedOn) > 0 && slices.Contains(s.failedOn, w.ID) &&
-		(s.job.Queue.Policy == nil || 2*len(s.failedOn) < len(s.permits.allowed))
+// runs failed on half of the workers that can run the step now, the task is considered to be
+// at fault, and the step avoids none.
+func (s *Scheduler) avoided(st *step) []string {
+	if len(st.failedOn) == 0 {
+		return nil
+	}
+	usable, failed := 0, 0
+	s.eachAllowed(st, func(w *worker) {
+		if !s.isEligible(st, w) {
+			return
+		}
+		usable++
+		if slices.Contains(st.failedOn, w.ID) {
+			failed++
+		}
+	})
+	if 2*failed >= usable {
+		return nil
+	}
+	return st.failedOn
 }
 
 // rank sorts candidates by preference: workers that are not slow first, then those near
--- a/internal/cell/place_test.go
+++ b/internal/cell/place_test.go
@@ -72,3 +72,46 @@
 	r.advance(1000)
 	assert.Equal(t, len(r.starts), 11)
 }
+
+// A step of a queue without a policy avoided for ever each worker on which a run of any of its
+// tasks had failed. Once that was so of all workers, nothing of it was started any more.
+func TestStepReturnsToWorkersWhereRunsFailed(t *testing.T) {
+	r := newRig(t, 3, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 12, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	failedOn := map[string]bool{}
+	failedTask := map[TaskID]bool{}
+	for n := 0; n < 40 && r.state(jobID(1)) != Completed; n++ {
+		for _, info := range r.infos {
+			for _, run := range append([]RunningTask(nil), r.workers[info.ID].running...) {
+				kind := EndDone
+				if !failedOn[info.ID] && !failedTask[run.Task] {
+					failedOn[info.ID], failedTask[run.Task] = true, true
+					kind = EndFailed
+				}
+				r.endRun(info.ID, run.Task, run.Run, kind)
+			}
+		}
+		r.advance(1000)
+	}
+	assert.Equal(t, r.state(jobID(1)), Completed)
+}
+
+// Of many workers, the one on which a run failed is avoided, but not while most of the others
+// cannot run the step.
+func TestWorkerWhereARunFailedIsTakenIfOthersAreGone(t *testing.T) {
+	r := newRig(t, 4, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	failed := r.starts[0].Worker
+	r.endLast(EndFailed)
+	assert.Equal(t, len(r.starts), 2)
+	assert.Assert(t, r.starts[1].Worker != failed)
+	for _, info := range r.infos {
+		if info.ID != failed {
+			r.silence(info.ID)
+			r.s.LeaseExpired(info.ID)
+		}
+	}
+	r.advance(searchIntervalMS)
+	assert.Equal(t, len(r.starts), 3)
+	assert.Equal(t, r.starts[2].Worker, failed)
+}
--- a/internal/cell/waits.go
+++ b/internal/cell/waits.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -55,13 +56,14 @@
 	free := func(w *worker) int { return w.free().FitCount(st.demand, limit) }
 	unreserved := func(w *worker) int { return s.fitCount(st, w) }
 	always := func(*worker) bool { return true }
+	avoided := s.avoided(st)
 	return []waitCheck{
 		{name: "registered", passes: func(w *worker) bool { return w.Service == st.job.Queue.Service && w.registered }, fits: empty},
 		{name: "label", passes: func(w *worker) bool { return w.hasLabel(st.def.Label) }, fits: empty},
 		{name: "usable", passes: func(w *worker) bool { return s.isEligible(st, w) }, fits: empty},
 		{name: "asked", passes: func(w *worker) bool { return st.job.Queue.Policy == nil || st.permits.asked[w.ID] }, fits: empty},
 		{name: "allowed", passes: st.isAllowed, fits: empty},
-		{name: "not_avoided", passes: func(w *worker) bool { return !st.avoids(w) }, fits: empty},
+		{name: "not_avoided", passes: func(w *worker) bool { return !slices.Contains(avoided, w.ID) }, fits: empty},
 		{name: "free", passes: always, fits: free},
 		{name: "unreserved", passes: always, fits: unreserved},
 		{name: "permit", passes: func(w *worker) bool { return st.permitted(w, s.now) }, fits: unreserved},
