Restart services after crashes of their workers, with growing delays

Callers saw a service shown as failed after five crashes of its workers (LOST, review-standin services). A service must be restarted however its runs end.

Change: tasks of services are never given up.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -9,7 +9,8 @@
 // A task may crash the worker that starts it, and with it all other runs there. This file
 // finds such tasks among those that only ran beside one. A task is suspected if its worker
 // stopped answering soon after the start. A suspected task is started again on a worker
-// that starts no other task meanwhile, and given up if that worker crashes too.
+// that starts no other task meanwhile, and given up if that worker crashes too. Tasks of
+// services are never given up: they are started again, after growing delays.
 const (
 	// crashWindowMS is how soon after the start of a task its worker must stop answering
 	// for the task to be suspected, in ms. Broken connections show a crash at once.
@@ -159,7 +160,9 @@
 		s.emit(LogEvent{Event: EventCrashSuspected, Failed: true, Job: id.Job, Task: id.String(), Worker: workerID, Detail: strconv.FormatBool(r.alone), AgeMS: int64(c.early)})
 		if c.early >= maxEarlyCrashes || r.alone && c.early >= provenCrashes {
 			explained = true
-			s.giveUp(r.task, workerID)
+			if !r.task.step.def.LongRunning {
+				s.giveUp(r.task, workerID)
+			}
 		}
 	}
 	for _, r := range l.runs {
@@ -167,7 +170,7 @@
 		case r.task.isOver():
 		case explained:
 			s.discountCrash(lostRun{task: r.task})
-		case r.task.crashes.total >= maxCrashes:
+		case r.task.crashes.total >= maxCrashes && !r.task.step.def.LongRunning:
 			s.giveUp(r.task, workerID)
 		}
 	}
@@ -212,7 +215,7 @@
 		for _, o := range j.occurrences {
 			for _, st := range o.steps {
 				for _, t := range st.tasks {
-					if !t.isOver() && (t.crashes.early >= maxEarlyCrashes || t.crashes.total >= maxCrashes) {
+					if !t.isOver() && !st.def.LongRunning && (t.crashes.early >= maxEarlyCrashes || t.crashes.total >= maxCrashes) {
 						s.giveUp(t, "")
 					}
 				}
@@ -338,7 +341,7 @@
 		switch {
 		case !outlasted && slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.onTrial }):
 			return nil
-		case !t.isPlaceable():
+		case !t.isPlaceable() || now < t.restarts.notBefore:
 		case t.crashes.suspected && suspect == nil:
 			suspect = t
 		case !t.crashes.suspected && other == nil:
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -11,8 +11,9 @@
 	w.lastEnd = e.Number
 	key := runKey{e.Task, e.Run}
 	delete(w.unknownRuns, key)
-	a := w.attempts[key]
+	a, startedAt := w.attempts[key], s.now
 	if a != nil {
+		startedAt = a.started
 		s.closeAttempt(a)
 		if e.Kind != EndFailed || !a.task.step.failsElsewhere(w) {
 			w.health.recordEnd(s.now, e.Kind)
@@ -26,7 +27,7 @@
 		t.lastRun = max(t.lastRun, e.Run)
 		t.step.lastRun = max(t.step.lastRun, e.Run)
 		s.updateCheckpoint(t, e.Run, e.Checkpoint)
-		s.applyEnd(t, w, e)
+		s.applyEnd(t, w, e, startedAt)
 		p.job, p.seq = t.step.job, unwritten
 		s.newEnds = append(s.newEnds, p)
 	} else if j := s.jobs[e.Task.Job]; j != nil {
@@ -42,17 +43,19 @@
 	s.releaseEnds(w)
 }
 
-// applyEnd updates the task after one of its runs has ended.
-func (s *Scheduler) applyEnd(t *task, w *worker, e *EndedTask) {
+// applyEnd updates the task after one of its runs has ended, which started at the given time.
+func (s *Scheduler) applyEnd(t *task, w *worker, e *EndedTask, startedAt Instant) {
 	st := t.step
 	switch {
 	case e.Kind == EndDone && st.def.LongRunning:
+		s.delayRestart(t, w, startedAt)
 		s.enqueue(st)
 	case e.Kind == EndDone && st.def.Gang:
 		s.gangDone(st)
 	case e.Kind == EndDone:
 		s.taskDone(t)
 	case e.Kind == EndFailed:
+		s.delayRestart(t, w, startedAt)
 		s.countFailure(t, e, w)
 	case e.Kind == EndGangMemberEnded:
 		// The worker ends the other members of the gang itself.
@@ -157,6 +160,9 @@
 // retryAfterLoss queues the task again after an attempt ended without a result.
 func (s *Scheduler) retryAfterLoss(a *attempt) {
 	if a.task.step.job.final == "" {
+		if a.phase == running {
+			s.delayRestart(a.task, a.worker, a.started)
+		}
 		s.requeueLost(a.task)
 	}
 }
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -157,7 +157,7 @@
 	if st.job.final != "" || st.complete() || st.job.acceptSeq > s.stored {
 		return false
 	}
-	if st.def.Gang && st.isHeld() {
+	if st.def.Gang && (st.isHeld() || st.isDelayed(s.now)) {
 		return false
 	}
 	return !st.job.restored || s.mayPlaceRestored()
@@ -259,6 +259,10 @@
 		if !t.isPlaceable() || t.crashes.suspected {
 			continue
 		}
+		if s.now < t.restarts.notBefore {
+			st.nextSearch = s.now + searchIntervalMS
+			continue
+		}
 		c := firstWithCapacity(cands, t)
 		if c == nil {
 			st.nextSearch = s.now + searchIntervalMS
@@ -289,14 +293,21 @@
 }
 
 // firstWithCapacity returns the first candidate with free capacity that has no attempt
-// of the task yet.
+// of the task yet. The worker on which a task of a service ended last is taken only if there is
+// no other.
 func firstWithCapacity(cands []candidate, t *task) *candidate {
+	var last *candidate
 	for i := range cands {
-		if cands[i].fits > 0 && !t.runsOn(cands[i].worker) {
-			return &cands[i]
+		c := &cands[i]
+		switch {
+		case c.fits == 0 || t.runsOn(c.worker):
+		case c.worker.ID == t.restarts.lastOn:
+			last = c
+		default:
+			return c
 		}
 	}
-	return nil
+	return last
 }
 
 // runBase returns a number that is at least as high as every run number that earlier
