Keep occurrences that an earlier holder has begun

A holder whose clock is ahead could begin an occurrence of a repeated job and end before its progress was stored.

Change: a run or an end of a restored job's occurrence that is not open opens it.

Evidence: TestBegunOccurrenceIsKeptByHolderWithClockBehind failed before.

--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -23,6 +23,7 @@
 		}
 	}
 	p := &pendingEnd{number: e.Number}
+	s.openBegun(e.Task)
 	if t := s.task(e.Task); t != nil {
 		t.lastRun = max(t.lastRun, e.Run)
 		t.step.lastRun = max(t.step.lastRun, e.Run)
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -187,9 +187,22 @@
 	s.updateCheckpoint(a.task, a.run, r.Checkpoint)
 }
 
+// openBegun opens an occurrence of a restored job that has a run although it is not due on
+// this holder's clock: an earlier holder, whose clock was ahead, has begun it.
+func (s *Scheduler) openBegun(id TaskID) {
+	j := s.jobs[id.Job]
+	if j == nil || j.final != "" || !j.restored || j.Schedule == nil || id.Occurrence < 0 || id.Occurrence >= j.Schedule.Occurrences {
+		return
+	}
+	if !j.finished[id.Occurrence] && j.occurrences[id.Occurrence] == nil {
+		s.openOccurrence(j, id.Occurrence, j.occurrenceDue(s, id.Occurrence))
+	}
+}
+
 // adopt takes over a run that an earlier holder started. It returns nil if the run must
 // be stopped.
 func (s *Scheduler) adopt(w *worker, key runKey) *attempt {
+	s.openBegun(key.task)
 	t := s.task(key.task)
 	if t == nil {
 		return nil
--- a/internal/cell/restore_test.go
+++ b/internal/cell/restore_test.go
@@ -103,3 +103,34 @@
 	assert.Equal(t, len(skipped), 1)
 	assert.Equal(t, len(s.Actions()), 0)
 }
+
+// The next holder's time of day may be behind. An occurrence that the former one had begun
+// shortly before its end was not due then: its runs were stopped, its ends were acknowledged
+// without effect, and its tasks ran again.
+func TestBegunOccurrenceIsKeptByHolderWithClockBehind(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		spec := oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000})
+		spec.Schedule = &Schedule{FirstUnixMS: r.unixMS + 1000, IntervalMS: 60_000, Occurrences: 2}
+		r.submit(spec)
+		r.logDown = true // the progress is not stored
+		r.advance(1000)
+		r.logDown = false
+		assert.Equal(t, len(r.starts), 1)
+		start := r.starts[0]
+		if ended {
+			r.endRun(start.Worker, start.Task, start.Run, EndDone)
+		}
+		r.unixMS -= 900
+		r.takeOver(2)
+		if !ended {
+			r.advance(10)
+			assert.Equal(t, len(r.stops), 0)
+			r.endRun(start.Worker, start.Task, start.Run, EndDone)
+		}
+		r.advance(10)
+		r.advance(2000)
+		assert.Equal(t, len(r.starts), 1, "ended before the takeover: %t", ended)
+		assert.Assert(t, r.s.jobs[jobID(1)].finished[0])
+	}
+}
