Take crash counts back after a change of holder

A crash is counted when a worker stops answering, and taken back when it answers again.

Change: the progress record names the runs whose crash is not confirmed. The next holder takes the count back when the worker reports the run or its end.

Evidence: TestCrashCountIsTakenBackByTheNextHolder fails without the call in adopt.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -40,9 +40,18 @@
 	suspected bool
 }
 
+// openCrash is a crash that is counted for a run whose worker has stopped answering. It is
+// taken back if the worker reports the run or its end.
+type openCrash struct {
+	_     struct{} `cbor:",toarray"`
+	Run   uint32
+	Early bool // counted as such
+}
+
 // lostRun is a run on a worker that has stopped answering.
 type lostRun struct {
 	task   *task
+	run    uint32
 	recent bool // the start was sent soon before the worker stopped answering
 	early  bool // and the worker had confirmed it
 	alone  bool // no other step had started a task there shortly before
@@ -105,8 +114,9 @@
 		if early {
 			c.early++
 		}
+		a.task.openCrashes = append(a.task.openCrashes, openCrash{Run: a.run, Early: early})
 		s.markDirty(a.task.step.job)
-		l.runs = append(l.runs, lostRun{task: a.task, recent: recent, early: early})
+		l.runs = append(l.runs, lostRun{task: a.task, run: a.run, recent: recent, early: early})
 	}
 	for i := range l.runs {
 		l.runs[i].alone = l.runs[i].early && len(steps) == 1
@@ -132,6 +142,7 @@
 
 // discountCrash takes back the crash that was counted for a lost run.
 func (s *Scheduler) discountCrash(r lostRun) {
+	r.task.closeCrash(r.run)
 	c := &r.task.crashes
 	c.total = max(c.total-1, 0)
 	if r.early {
@@ -153,6 +164,9 @@
 	delete(s.lost, workerID)
 	explained := false
 	for _, r := range l.runs {
+		if r.task.closeCrash(r.run) {
+			s.markDirty(r.task.step.job)
+		}
 		c, id := r.task.crashes, r.task.id()
 		if !r.early || c.early == 0 || r.task.isOver() {
 			continue // a later run has outlasted crashWindowMS
@@ -169,13 +183,32 @@
 		switch {
 		case r.task.isOver():
 		case explained:
-			s.discountCrash(lostRun{task: r.task})
+			s.discountCrash(lostRun{task: r.task, run: r.run})
 		case r.task.crashes.total >= maxCrashes && !r.task.step.def.LongRunning:
 			s.giveUp(r.task, workerID)
 		}
 	}
 }
 
+// closeCrash removes the open crash of a run and reports whether there was one.
+func (t *task) closeCrash(run uint32) bool {
+	i := slices.IndexFunc(t.openCrashes, func(c openCrash) bool { return c.Run == run })
+	if i < 0 {
+		return false
+	}
+	t.openCrashes = slices.Delete(t.openCrashes, i, i+1)
+	return true
+}
+
+// discountRestoredCrash takes back the crash that an earlier holder has counted for a run,
+// whose worker now reports it.
+func (s *Scheduler) discountRestoredCrash(w *worker, t *task, run uint32) {
+	i := slices.IndexFunc(t.openCrashes, func(c openCrash) bool { return c.Run == run })
+	if i >= 0 && s.lost[w.ID] == nil {
+		s.discountCrash(lostRun{task: t, run: run, recent: true, early: t.openCrashes[i].Early})
+	}
+}
+
 // isOver reports whether the task is done or its job has ended.
 func (t *task) isOver() bool { return t.done || t.step.job.final != "" }
 
@@ -196,7 +229,12 @@
 }
 
 // restoreCrashes restores the crashes that earlier holders have counted for a step's tasks.
-func (s *Scheduler) restoreCrashes(st *step, stored []taskCrashes) {
+func (s *Scheduler) restoreCrashes(st *step, stored []taskCrashes, open []taskOpenCrashes) {
+	for _, o := range open {
+		if o.Index >= 0 && o.Index < len(st.tasks) {
+			st.tasks[o.Index].openCrashes = o.Crashes
+		}
+	}
 	for _, c := range stored {
 		if c.Index >= len(st.tasks) || st.tasks[c.Index].done {
 			continue
--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -442,3 +442,38 @@
 		assert.Equal(t, d.s.task(d.starts[0].Task).crashes, test.want, test.name)
 	}
 }
+
+// Guards against crashes that were counted for workers that were only silent, and that nobody
+// takes back because the holder changes before they answer: five under one long task ended its
+// job as failed.
+func TestCrashCountIsTakenBackByTheNextHolder(t *testing.T) {
+	for _, ends := range []bool{false, true} {
+		d := newDeadlyRig(t, 2, func(TaskID) bool { return false })
+		d.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 600_000}))
+		start := d.starts[0]
+		for term := uint32(2); term < 2+maxCrashes+2; term++ {
+			d.run(1000)
+			d.workers[start.Worker].unreachable = true
+			d.s.WorkerUnreachable(start.Worker, d.now)
+			d.run(100)
+			assert.Equal(t, d.s.task(start.Task).crashes.total, 1)
+			d.takeOver(term)
+			d.workers[start.Worker].unreachable = false
+			if ends && term == 3 {
+				d.endRun(start.Worker, start.Task, start.Run, EndStopped)
+				d.run(100)
+				break
+			}
+			d.run(100)
+			assert.Equal(t, d.s.task(start.Task).crashes, crashes{}, "term %d", term)
+			assert.Equal(t, len(d.s.task(start.Task).openCrashes), 0)
+			d.takeOver(term) // what is stored now
+			assert.Equal(t, d.s.task(start.Task).crashes, crashes{}, "term %d", term)
+		}
+		assert.Equal(t, d.state(jobID(1)), Running)
+		assert.Equal(t, d.s.task(start.Task).crashes, crashes{})
+		if !ends {
+			assert.Equal(t, len(d.starts), 1)
+		}
+	}
+}
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -25,6 +25,7 @@
 	p := &pendingEnd{number: e.Number}
 	s.openBegun(e.Task)
 	if t := s.task(e.Task); t != nil {
+		s.discountRestoredCrash(w, t, e.Run)
 		t.lastRun = max(t.lastRun, e.Run)
 		t.step.lastRun = max(t.step.lastRun, e.Run)
 		s.updateCheckpoint(t, e.Run, e.Checkpoint)
@@ -244,6 +245,9 @@
 		if c := t.crashes; c != (crashes{}) && !t.done {
 			p.Crashes = append(p.Crashes, taskCrashes{Index: t.index, Total: c.total, Early: c.early, Suspected: c.suspected})
 		}
+		if len(t.openCrashes) > 0 && !t.done {
+			p.OpenCrashes = append(p.OpenCrashes, taskOpenCrashes{Index: t.index, Crashes: t.openCrashes})
+		}
 	}
 	return p, p.Started || len(p.Crashes) > 0 || len(p.Done) > 0 || len(p.Failed) > 0
 }
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -207,6 +207,7 @@
 	if t == nil {
 		return nil
 	}
+	s.discountRestoredCrash(w, t, key.run)
 	st := t.step
 	t.lastRun = max(t.lastRun, key.run)
 	st.lastRun = max(st.lastRun, key.run)
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -45,6 +45,14 @@
 	// Crashes has an entry for each task under which a worker has crashed or stopped
 	// answering.
 	Crashes []taskCrashes `cbor:"6,keyasint,omitempty"`
+	// OpenCrashes has an entry for each task with crashes in Crashes that are not confirmed.
+	OpenCrashes []taskOpenCrashes `cbor:"7,keyasint,omitempty"`
+}
+
+type taskOpenCrashes struct {
+	_       struct{} `cbor:",toarray"`
+	Index   int
+	Crashes []openCrash
 }
 
 type taskCrashes struct {
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -107,7 +107,7 @@
 			st.tasks[f.Index].failed = f.Runs
 		}
 	}
-	s.restoreCrashes(st, p.Crashes)
+	s.restoreCrashes(st, p.Crashes, p.OpenCrashes)
 	if st.complete() {
 		o.left--
 	}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -71,7 +71,9 @@
 	checkpoint string   // newest checkpoint
 	attempts   []*attempt
 	crashes    crashes
-	restarts   restarts // of a task of a service
+	// openCrashes are those of the counted crashes that are not confirmed.
+	openCrashes []openCrash
+	restarts    restarts // of a task of a service
 	// speculate is set if a speculative attempt should start alongside a slow one.
 	speculate bool
 	// unreconciledOn holds the workers that may be running the task for an earlier holder
