--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -248,11 +248,10 @@
 	}{{"late crashes", 2 * crashWindowMS}, {"early crashes", 20}} {
 		d := newDeadlyRig(t, 6, func(TaskID) bool { return false })
 		d.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000, LongRunning: true}))
-		lastDown := d.now
 		for n := 1; n <= 3*maxCrashes; n++ {
 			d.run(test.after)
 			d.crash(d.starts[len(d.starts)-1].Worker)
-			lastDown = d.now
+			lastDown := d.now
 			for len(d.starts) == n && d.now-lastDown < 20_000 {
 				d.step()
 			}
