Stop counting usable workers once most of them have no failures

Which workers a step avoids is decided at each search for capacity. The count visited all allowed workers a second time; with a few failed runs, it can end after a few of them.

--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"iter"
 	"slices"
 )
 
@@ -346,15 +347,26 @@
 // eachAllowed calls visit for each worker that is allowed to run the step, as far as is
 // known.
 func (s *Scheduler) eachAllowed(st *step, visit func(*worker)) {
-	if st.job.Queue.Policy == nil {
-		for _, w := range s.workers {
-			visit(w)
-		}
-		return
+	for w := range s.allowedTo(st) {
+		visit(w)
 	}
-	for id := range st.permits.allowed {
-		if w := s.workers[id]; w != nil {
-			visit(w)
+}
+
+// allowedTo returns the workers that are allowed to run the step, as far as is known.
+func (s *Scheduler) allowedTo(st *step) iter.Seq[*worker] {
+	return func(yield func(*worker) bool) {
+		if st.job.Queue.Policy == nil {
+			for _, w := range s.workers {
+				if !yield(w) {
+					return
+				}
+			}
+			return
+		}
+		for id := range st.permits.allowed {
+			if w := s.workers[id]; w != nil && !yield(w) {
+				return
+			}
 		}
 	}
 }
@@ -368,15 +380,17 @@
 		return nil
 	}
 	usable, failed := 0, 0
-	s.eachAllowed(st, func(w *worker) {
+	for w := range s.allowedTo(st) {
 		if !s.isEligible(st, w) {
-			return
+			continue
+		}
+		if usable++; usable > 2*len(st.failedOn) {
+			return st.failedOn
 		}
-		usable++
 		if slices.Contains(st.failedOn, w.ID) {
 			failed++
 		}
-	})
+	}
 	if 2*failed >= usable {
 		return nil
 	}
