--- a/internal/entry/lanes.go
+++ b/internal/entry/lanes.go
@@ -122,7 +122,7 @@
 	if r.Value == nil {
 		k.lanes = k.lanes.without(lane)
 	} else {
-		// A record without a version counts as the oldest, as it does for the reader.
+		// A record without a version, which the reader reports, counts as the oldest.
 		if v, _, _ := splitVersion(r); k.lanes == 0 || !v.less(k.version) {
 			k.newest, k.version = lane, v
 		}
