--- a/spec/check.sh
+++ b/spec/check.sh
@@ -71,6 +71,9 @@
 fail lanes -DFENCE_ONE
 fail lanes -DFIRST_LANE_COUNTS
 fail lanes -DDROP_NEWEST_FIRST
+pass drops
+fail drops -DCURRENT_LAST
+fail drops -DSWEEP_WRITTEN
 pass terms
 pass terms -DTERMS=5 -DWRITES=3
 fail terms -DSAME_TOKEN
