--- a/internal/cell/crash_test.go
+++ b/internal/cell/crash_test.go
@@ -239,8 +239,7 @@
 	}
 }
 
-// A service must be started again however its runs end, also after many crashes of its workers.
-// It was given up after five, so that its callers had none any more.
+// Guards against a service that is given up, or down for long, after many crashes of its workers.
 func TestServiceIsNeverGivenUp(t *testing.T) {
 	for _, test := range []struct {
 		name  string
@@ -419,8 +418,7 @@
 	assert.Equal(t, d.crashes, 1+provenCrashes)
 }
 
-// Guards against a sound job that is given up because two workers crashed after a run of its
-// task had ended there, with the end unread. First seen as soak seed 1.
+// Guards against a sound job given up for crashes after its runs had ended, first seen as soak seed 1.
 func TestRunThatMayHaveEndedIsNoProofOfACrash(t *testing.T) {
 	for _, test := range []struct {
 		name      string
@@ -442,9 +440,7 @@
 	}
 }
 
-// Guards against crashes that were counted for workers that were only silent, and that nobody
-// takes back because the holder changes before they answer: five under one long task ended its
-// job as failed.
+// Guards against crash counts of silent workers that nobody takes back after a change of holder.
 func TestCrashCountIsTakenBackByTheNextHolder(t *testing.T) {
 	for _, ends := range []bool{false, true} {
 		d := newDeadlyRig(t, 2, func(TaskID) bool { return false })
--- a/internal/cell/ends_test.go
+++ b/internal/cell/ends_test.go
@@ -124,8 +124,7 @@
 	assert.DeepEqual(t, keys, []string{jobID(1), jobID(1) + progressSuffix})
 }
 
-// Guards against a task that runs twice: a start that a worker has not answered before it
-// restarted under its ID may be carried out by the next incarnation.
+// Guards against a task that runs twice because a restarted worker carries out an old start.
 func TestUnansweredStartOutlivesRestart(t *testing.T) {
 	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
@@ -156,9 +155,7 @@
 	assert.Equal(t, len(r.starts), 3)
 }
 
-// A stop that is lost, as with the session that repeated it, must be sent again while the
-// worker lists the run. Tasks of cancelled jobs, and runs that an earlier holder had started,
-// ran on to their end.
+// Guards against runs that go on to their end because their stop was lost with a session.
 func TestStopIsSentAgainWhileTheRunGoesOn(t *testing.T) {
 	for _, unknown := range []bool{false, true} {
 		r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
@@ -184,8 +181,7 @@
 	}
 }
 
-// A worker lists a limited number of ended tasks. Runs that had ended beyond them were taken
-// for gone, and done tasks ran again, also under the next holder.
+// Guards against done tasks that run again because a full list of ends lacks theirs.
 func TestRunBeyondTheListedEndsIsNotGone(t *testing.T) {
 	for _, takeover := range []bool{false, true} {
 		r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
--- a/internal/cell/health_test.go
+++ b/internal/cell/health_test.go
@@ -25,8 +25,7 @@
 	}
 }
 
-// Jobs that always fail put each worker on probation. A worker that also ran a task of a
-// service then never got another task, so nothing was started any more.
+// Guards against workers that never leave probation because they run a task of a service.
 func TestProbationEndsBesideAService(t *testing.T) {
 	r := newRig(t, 3, Resources{CPUMilli: 8000, MemoryMB: 8000})
 	r.submit(oneStep(jobID(0), Step{Tasks: 3, Resources: Resources{CPUMilli: 1000}, LongRunning: true, MaxPerWorker: 1}))
@@ -45,8 +44,7 @@
 	}
 }
 
-// The failures of a job that fails everywhere must not put more than its first worker on
-// probation.
+// Guards against a job that fails everywhere and puts all workers on probation.
 func TestFailuresOfAFaultyStepAreItsOwn(t *testing.T) {
 	r := newRig(t, 3, Resources{CPUMilli: 3000, MemoryMB: 8000})
 	r.submit(oneStep(jobID(1), Step{Tasks: 9, Resources: Resources{CPUMilli: 1000}, EstimateMS: 500}))
@@ -76,7 +74,7 @@
 	assert.Assert(t, r.s.workers[sick].health.probation)
 }
 
-// A probation must end although no run ends on the worker.
+// Guards against a probation without end on a worker where no run ends.
 func TestQuietProbationEnds(t *testing.T) {
 	r := newRig(t, 1, Resources{CPUMilli: 8000, MemoryMB: 8000})
 	h := &r.s.workers["w00"].health
--- a/internal/cell/place_test.go
+++ b/internal/cell/place_test.go
@@ -73,8 +73,7 @@
 	assert.Equal(t, len(r.starts), 11)
 }
 
-// A step of a queue without a policy avoided for ever each worker on which a run of any of its
-// tasks had failed. Once that was so of all workers, nothing of it was started any more.
+// Guards against a step that is stuck once a run has failed on each worker.
 func TestStepReturnsToWorkersWhereRunsFailed(t *testing.T) {
 	r := newRig(t, 3, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	r.submit(oneStep(jobID(1), Step{Tasks: 12, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
@@ -96,8 +95,7 @@
 	assert.Equal(t, r.state(jobID(1)), Completed)
 }
 
-// Of many workers, the one on which a run failed is avoided, but not while most of the others
-// cannot run the step.
+// Guards against a step that waits for workers that are gone and avoids the one that is left.
 func TestWorkerWhereARunFailedIsTakenIfOthersAreGone(t *testing.T) {
 	r := newRig(t, 4, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
--- a/internal/cell/restarts_test.go
+++ b/internal/cell/restarts_test.go
@@ -6,7 +6,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// A task of a service that always fails was started again without a pause, on the same worker.
+// Guards against a failing service that is started again without a pause, on the same worker.
 func TestFailingServiceIsRestartedWithDelays(t *testing.T) {
 	r := newRig(t, 3, Resources{CPUMilli: 8000, MemoryMB: 8000})
 	r.advance(10)
@@ -32,7 +32,7 @@
 	assert.Equal(t, len(r.starts), 10)
 }
 
-// The delay of restarts doubles up to its maximum.
+// Guards against delays that do not grow or exceed their maximum.
 func TestRestartDelay(t *testing.T) {
 	for n, want := range map[int]Instant{1: 0, 2: 250, 3: 500, 6: 4000, 7: 4000, 1 << 30: 4000} {
 		assert.Equal(t, restartDelay(n), want, "restart %d", n)
--- a/internal/cell/restore_test.go
+++ b/internal/cell/restore_test.go
@@ -68,9 +68,7 @@
 	assert.Equal(t, len(r.starts), 2)
 }
 
-// A progress record that outlives its job, because the holder ended before the drop was stored,
-// stayed in the log for ever. A job that was submitted under the same ID later resumed from it:
-// its tasks counted as done without having run.
+// Guards against progress that outlives its job: a job submitted under the same ID resumed from it.
 func TestProgressOfDroppedJobIsDropped(t *testing.T) {
 	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	spec := oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000})
@@ -95,7 +93,7 @@
 	}
 }
 
-// The progress of a job whose record cannot be decoded must be kept.
+// Guards against progress that is dropped because the record of its job cannot be decoded.
 func TestProgressOfUndecodableJobIsKept(t *testing.T) {
 	s := New(Config{})
 	s.Tick(1, 1)
@@ -104,9 +102,7 @@
 	assert.Equal(t, len(s.Actions()), 0)
 }
 
-// The next holder's time of day may be behind. An occurrence that the former one had begun
-// shortly before its end was not due then: its runs were stopped, its ends were acknowledged
-// without effect, and its tasks ran again.
+// Guards against tasks that run again because an occurrence that has begun is not due for the next holder.
 func TestBegunOccurrenceIsKeptByHolderWithClockBehind(t *testing.T) {
 	for _, ended := range []bool{false, true} {
 		r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
--- a/internal/entry/lanes_test.go
+++ b/internal/entry/lanes_test.go
@@ -90,10 +90,7 @@
 	assert.Equal(t, len(newLaneReader().add(0, []cell.Record{{Key: "k", Value: []byte("short")}})), 1)
 }
 
-// A key that two lanes hold must be dropped last from the lane with its newest record,
-// whichever lane is the current one. If the holder ended between the two drops in the other
-// order, the older record would become the newest: jobs that were completed or cancelled
-// ran again.
+// Guards against drops that make an older record the newest, whichever lane is the current one.
 func TestNewestRecordIsDroppedLast(t *testing.T) {
 	for _, current := range []int{0, 1, 2} {
 		w := newRecordWriter(newFakeLog(), 0, 0, 9, zap.NewNop())
@@ -119,9 +116,7 @@
 	}
 }
 
-// A job that has ended must not be found as accepted by a new holder while its records are
-// being dropped. Completed and cancelled jobs ran again after an outage of their lane and two
-// changes of the holder, because the record with their end was dropped first.
+// Guards against ended jobs that run again because a new holder finds them while they are dropped.
 func TestDroppedJobDoesNotReappear(t *testing.T) {
 	log, fleet := newFakeLog(), newFakeFleet(1)
 	earlier := cell.New(cell.Config{KeepEndedMS: 1000})
@@ -168,8 +163,7 @@
 	return value
 }
 
-// An older record that is written late, by the repeat of an append without a response, must
-// not pass for the newest one.
+// Guards against an older record that is written late and passes for the newest.
 func TestRepeatOfOlderRecordIsNotTheNewest(t *testing.T) {
 	index := laneIndex{}
 	index.update(1, cell.Record{Key: "job", Value: withVersion(version{5, 7}, []byte("completed"))})
@@ -179,8 +173,7 @@
 	assert.Equal(t, index.nextToDrop("job"), firstLane.with(2))
 }
 
-// A job may be submitted again under the ID of one that has been dropped. The drops that are
-// left must not remove its record.
+// Guards against drops that remove a job submitted again under the ID of a dropped one.
 func TestSweepSparesKeyThatIsWrittenAgain(t *testing.T) {
 	log := newFakeLog()
 	w := newRecordWriter(log, 0, 0, 9, zap.NewNop())
--- a/internal/entry/proof_test.go
+++ b/internal/entry/proof_test.go
@@ -10,9 +10,7 @@
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 )
 
-// A holder that does not know yet that another one has taken over, as after a pause of its
-// process, must not deny what the other one has accepted. It answered cancellations with
-// "there is no such job", and the jobs ran on.
+// Guards against a paused holder that denies what the next one has accepted.
 func TestSupersededHolderDeniesNothing(t *testing.T) {
 	log, fleet := newFakeLog(), newFakeFleet(1)
 	fleet.silent = true // no worker tells the former holder that it is superseded
@@ -40,8 +38,7 @@
 	assert.NilError(t, <-cancelled)
 }
 
-// Answers that need a proof must be sent by the next renewal of the claim, and only by a
-// call that was sent after the request.
+// Guards against proofs older than the request, and against denials that wait for long.
 func TestProofIsSentAfterTheRequest(t *testing.T) {
 	n := startNode(t, "a", newFakeLog(), newFakeFleet(1))
 	eventually(t, "a holder", n.holds)
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -10,9 +10,7 @@
 	"github.com/fulmarlatch/fulmarlatch/internal/clock"
 )
 
-// A worker that restarts under its ID numbers its ended tasks from 1 again. A renewal with
-// the acknowledgement of its former incarnation made it discard ends that nobody had read,
-// and tasks that were done ran again.
+// Guards against acknowledgements of a former life that make a worker discard ends nobody has read.
 func TestRestartedWorkerKeepsItsEnds(t *testing.T) {
 	log, fleet := newFakeLog(), newFakeFleet(1)
 	n := startNode(t, "a", log, fleet)
@@ -41,8 +39,7 @@
 	return newSession(newHolder(a, claim{Holder: "a", Term: 1}, 0), Target{ID: "w", Address: "w"})
 }
 
-// Neither an acknowledgement nor a deadline of a worker's former life may be sent to the
-// present one, also if the scheduler acknowledges ends of the former one late.
+// Guards against numbers of a former life in renewals, also if ends are acknowledged late.
 func TestRenewalsCarryNothingOfAFormerLife(t *testing.T) {
 	s := testSession()
 	assert.Equal(t, s.nextRenewal(), LeaseRenewal{}, "the worker's life is not known yet")
@@ -67,7 +64,7 @@
 	assert.Equal(t, s.nextRenewal().Acknowledged, uint64(1), "the worker has not restarted")
 }
 
-// While this VM is suspended, a worker may restart unnoticed.
+// Guards against a worker that restarts unnoticed while this VM is suspended.
 func TestSuspensionStopsAcknowledgements(t *testing.T) {
 	s := testSession()
 	s.recordResponse(1, 300_000)
@@ -76,8 +73,7 @@
 	assert.Equal(t, s.nextRenewal().Acknowledged, uint64(0))
 }
 
-// The deadline of a start is a time on the worker's clock. Without a known clock, the order
-// would be valid for years, and the lease would never count as expired.
+// Guards against starts without a known clock, which would be valid for years.
 func TestStartIsNotSentToAnUnknownLife(t *testing.T) {
 	s := testSession()
 	assert.Equal(t, s.tryStart(cell.Start{}), cell.StartNotSent)
@@ -86,8 +82,7 @@
 	assert.Equal(t, s.tryStart(cell.Start{}), cell.StartNotSent)
 }
 
-// The lease of a worker that restarted under its ID was computed from the deadline of its
-// former life: when it was lost later, its tasks waited for as long as it had been up before.
+// Guards against a lease that seems to last as long as the worker was up before it restarted.
 func TestLeaseEndsOnTheClockOfThePresentLife(t *testing.T) {
 	s := testSession()
 	s.recordResponse(1, 300_000)
@@ -103,9 +98,7 @@
 	assert.Assert(t, !known, "an expired lease is reported once")
 }
 
-// A holder that has been without the log for long, as after a pause of its process, must not
-// start tasks any more: each start prolongs a lease, and the next holder may start the
-// worker's tasks elsewhere once it has waited for the leases.
+// Guards against a holder without the log that prolongs leases by starts the next one does not wait for.
 func TestStartsEndWithTheAuthority(t *testing.T) {
 	s := testSession()
 	s.recordResponse(1, 300_000)
--- a/internal/entry/term_test.go
+++ b/internal/entry/term_test.go
@@ -110,8 +110,7 @@
 	assert.Equal(t, count(), before)
 }
 
-// A process that has closed must leave no goroutine of its term behind. One of them logged
-// the failure of a release to the logger of a test that had ended, which is a data race.
+// Guards against goroutines of a term that outlive their process, and log to a test that has ended.
 func TestCloseWaitsForTheTerm(t *testing.T) {
 	log, fleet := newFakeLog(), newFakeFleet(1)
 	fleet.stuckRenewal = make(chan struct{})
