Let the close of a process fit into the reserve of a planned stop

Close waited up to a second for goroutines, but a planned stop reserves 0.7 s at its end, so that a call of the policy service that was in progress could have the process killed.

--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -140,10 +140,11 @@
 }
 
 // Limits of the wait for the link listener and for all goroutines when a process closes.
-// The goroutines end as soon as the calls that they make notice the end of their context.
+// The goroutines end as soon as the calls that they make notice the end of their context. A
+// planned stop leaves 700 ms for both.
 const (
 	closeTimeout     = 200 * time.Millisecond
-	closeTaskTimeout = time.Second
+	closeTaskTimeout = 500 * time.Millisecond
 )
 
 // Close ends all links, stops following or holding the cells and waits until all
