Log the answers to cancellings and the orders of a step

The logs could not tell why a task of a cancelled job had started: an answered DELETE had no line at the process that the caller asked, a 410 had none at all, and no line named the run, worker and token of a start.

Shown on a DELETE that overtook its POST: the cause names the answer and the order after it.

--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -29,7 +29,9 @@
 	link    *link.Link    // to the holder, if another process holds the cell
 	changed chan struct{} // closed and replaced when holder or link changes
 	lostAt  time.Time     // when the cell was last reachable
-	stale   claim         // a claim that is known not to be renewed any more
+	// linkToken is the token of the claim for which the newest link was dialed.
+	linkToken int64
+	stale     claim // a claim that is known not to be renewed any more
 	// announced is the newest claim that a holder has announced to this process.
 	announced claim
 
@@ -222,7 +224,7 @@
 			l.Close()
 			return
 		}
-		a.setRoute(nil, l)
+		a.setLink(l, c.Token)
 		a.node.spawn(func() { a.watchForSilentLog(dialCtx, l) })
 	})
 	a.setRoute(nil, nil)
@@ -298,6 +300,14 @@
 	return c == a.stale
 }
 
+// setLink sets that the cell is reached by a link to the holder with the given token.
+func (a *agent) setLink(l *link.Link, token int64) {
+	a.mu.Lock()
+	a.linkToken = token
+	a.mu.Unlock()
+	a.setRoute(nil, l)
+}
+
 // setRoute sets how the cell is reached: by the local holder, by a link, or not at all.
 func (a *agent) setRoute(h *holder, l *link.Link) {
 	a.mu.Lock()
@@ -318,6 +328,17 @@
 	return a.holder, a.link, a.changed
 }
 
+// tokenOf returns the token of the holder that a link leads to, or 0 if the link has been
+// replaced.
+func (a *agent) tokenOf(l *link.Link) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.link != l {
+		return 0
+	}
+	return a.linkToken
+}
+
 // unreachableFor returns for how long neither a local holder nor a link to the holder
 // has existed; 0 if one exists.
 func (a *agent) unreachableFor() time.Duration {
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -66,7 +66,7 @@
 	a := newAgent(NewNode(Config{Name: "a", Cells: 1}, Platform{}), 0)
 	a.setRoute(nil, new(link.Link))
 	calls := 0
-	err := a.callHolder(within(4*time.Second), nil, func(*link.Link) error {
+	_, err := a.callHolder(within(4*time.Second), nil, func(*link.Link) error {
 		if calls++; calls == 1 {
 			time.Sleep(takeoverTimeout + 50*time.Millisecond)
 			a.setRoute(nil, nil)
@@ -88,10 +88,11 @@
 	for range requests {
 		go func() {
 			ctx := within(takeoverTimeout + 50*time.Millisecond)
-			errs <- a.callHolder(ctx, nil, func(*link.Link) error {
+			_, err := a.callHolder(ctx, nil, func(*link.Link) error {
 				<-ctx.Done()
 				return fault.Wrap(fault.Unavailable, ctx.Err(), "no reply in time", "retry")
 			})
+			errs <- err
 		}()
 	}
 	for range requests {
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -301,15 +301,19 @@
 
 // perform carries out actions of the scheduler.
 func (h *holder) perform(actions []cell.Action) {
+	orders := orderLog{logger: h.logger}
+	defer orders.flush()
 	for _, action := range actions {
 		switch a := action.(type) {
 		case cell.Start:
+			orders.start(a)
 			if s := h.sessions[a.Worker]; s != nil {
 				s.start(a)
 			} else {
 				h.onStarted(a, cell.StartUnhealthy)
 			}
 		case cell.Stop:
+			orders.stop(a)
 			if s := h.sessions[a.Worker]; s != nil {
 				s.stop(a)
 			}
--- a/internal/entry/ingress.go
+++ b/internal/entry/ingress.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 	"github.com/fulmarlatch/fulmarlatch/internal/link"
@@ -32,9 +34,10 @@
 	defer recordSince(n.meters.submit, time.Now())
 	n.requests.Add(1)
 	defer n.requests.Add(-1)
-	return n.callHolder(ctx, job.ID,
+	_, err := n.callHolder(ctx, job.ID,
 		func(h *holder) error { return h.submit(ctx, job) },
 		func(l *link.Link) error { return l.Call(ctx, kindSubmit, submitRequest{Job: *job}, nil) })
+	return err
 }
 
 // Status returns the state of a job. Errors are *fault.Error; NotFound means that the
@@ -44,9 +47,12 @@
 	n.requests.Add(1)
 	defer n.requests.Add(-1)
 	var reply statusReply
-	err := n.callHolder(ctx, id,
+	by, err := n.callHolder(ctx, id,
 		func(h *holder) (err error) { reply.State, err = h.status(ctx, id); return err },
 		func(l *link.Link) error { return l.Call(ctx, kindStatus, jobRequest{ID: id}, &reply) })
+	if fault.KindOf(err) == fault.NotFound {
+		n.logAnswer("status_denied", id, by, err)
+	}
 	return reply.State, err
 }
 
@@ -55,9 +61,23 @@
 func (n *Node) Cancel(ctx context.Context, id string) error {
 	n.requests.Add(1)
 	defer n.requests.Add(-1)
-	return n.callHolder(ctx, id,
+	by, err := n.callHolder(ctx, id,
 		func(h *holder) error { return h.cancelJob(ctx, id) },
 		func(l *link.Link) error { return l.Call(ctx, kindCancel, jobRequest{ID: id}, nil) })
+	if err == nil || fault.KindOf(err) == fault.NotFound {
+		n.logAnswer("cancel_answered", id, by, err)
+	}
+	return err
+}
+
+// logAnswer logs a final answer about a job, and the holder that gave it.
+func (n *Node) logAnswer(event, job string, by servedBy, err error) {
+	answer := "ok"
+	if err != nil {
+		answer = string(fault.KindOf(err))
+	}
+	n.meters.count(event)
+	n.cfg.Logger.Info(event, zap.String("job", job), zap.String("answer", answer), zap.String("holder", by.holder), zap.Int64("token", by.token))
 }
 
 // Pending returns the number of jobs of a queue of which no task has started. Errors
@@ -68,7 +88,7 @@
 	total := 0
 	for _, a := range n.agents() {
 		var reply pendingReply
-		err := a.callHolder(ctx,
+		_, err := a.callHolder(ctx,
 			func(h *holder) (err error) { reply.Jobs, err = h.pending(ctx, queue); return err },
 			func(l *link.Link) error { return l.Call(ctx, kindPending, pendingRequest{Queue: queue}, &reply) })
 		if err != nil {
@@ -79,39 +99,48 @@
 	return total, nil
 }
 
+// servedBy names the holder that answered a request, and its token.
+type servedBy struct {
+	holder string
+	token  int64
+}
+
 // callHolder passes a request for a job to the holder of the job's cell.
-func (n *Node) callHolder(ctx context.Context, id string, local func(*holder) error, remote func(*link.Link) error) error {
+func (n *Node) callHolder(ctx context.Context, id string, local func(*holder) error, remote func(*link.Link) error) (servedBy, error) {
 	agents := n.agents()
 	if len(agents) == 0 {
-		return errNotHolder()
+		return servedBy{}, errNotHolder()
 	}
 	return agents[cellOf(id, len(agents))].callHolder(ctx, local, remote)
 }
 
 // callHolder passes a request to the cell's holder, local or remote. If the holder is
 // lost, it tries the next one; requests are idempotent.
-func (a *agent) callHolder(ctx context.Context, local func(*holder) error, remote func(*link.Link) error) error {
+func (a *agent) callHolder(ctx context.Context, local func(*holder) error, remote func(*link.Link) error) (servedBy, error) {
 	sent := false
 	var unserved time.Time // since when no holder has served the request
 	for {
 		h, l, changed := a.route()
 		var err error
+		var by servedBy
 		called := time.Now()
 		switch {
 		case h != nil:
+			by = servedBy{a.node.cfg.Name, h.claim.Token}
 			err = local(h)
 		case l != nil:
+			by = servedBy{l.Peer().Name, a.tokenOf(l)}
 			err = remote(l)
 		default:
 			err = errNotHolder()
 		}
 		if !retriable(err) {
-			return err
+			return by, err
 		}
 		lost := fault.KindOf(err) == fault.Unavailable
 		sent = sent || lost
 		if ctx.Err() != nil {
-			return a.errUnserved(sent, err)
+			return by, a.errUnserved(sent, err)
 		}
 		// The time that a holder took before it was lost is no time without a holder.
 		if unserved.IsZero() || lost && time.Since(called) > holderRetryDelay {
@@ -119,7 +148,7 @@
 		}
 		left := takeoverTimeout - time.Since(unserved)
 		if left <= 0 {
-			return a.errNoHolder(sent)
+			return by, a.errNoHolder(sent)
 		}
 		// A new holder replies NotReady until it has restored the records.
 		retry := time.NewTimer(min(holderRetryDelay, left))
@@ -128,7 +157,7 @@
 		case <-retry.C:
 		case <-ctx.Done():
 			retry.Stop()
-			return a.errUnserved(sent, err)
+			return by, a.errUnserved(sent, err)
 		}
 		retry.Stop()
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -84,11 +84,11 @@
 	return Report{Lines: jobLines, Cause: cause(jobLines)}
 }
 
-// cause describes the main cause of the job's outcome: the first of failure,
-// cancellation, refusal, late placement and repeated runs that the lines show.
+// cause describes the main cause of the job's outcome: the first of a start after an answered
+// cancelling, failure, cancellation, refusal, late placement and repeated runs that the lines show.
 func cause(lines []Line) string {
 	count := map[string]int{}
-	var lastRefusal, lastFailure, givenUp, lateDetail, lastWait string
+	var lastRefusal, lastFailure, givenUp, lateDetail, lastWait, cancelAnswer, startAfterCancel string
 	var longestWait, longestWaitMS = "", int64(0)
 	withdrawn := false // refused after it was submitted, because its record was not sent
 	for _, l := range lines {
@@ -117,6 +117,12 @@
 			withdrawn, lastRefusal = true, l.Fields["error"]
 		case "request_unanswered":
 			lastRefusal = l.Fields["error"]
+		case "cancel_answered":
+			cancelAnswer = fmt.Sprintf("the cancelling was answered with %s by %s (token %s)", l.Fields["answer"], l.Fields["holder"], l.Fields["token"])
+		case "starts_ordered":
+			if cancelAnswer != "" && startAfterCancel == "" {
+				startAfterCancel = fmt.Sprintf("runs %s of %s were ordered by %s (token %s) after %s", l.Fields["runs"], l.Fields["task"], l.Fields["entry"], l.Fields["token"], cancelAnswer)
+			}
 		}
 	}
 	meanwhile := ""
@@ -127,6 +133,8 @@
 	}
 	placed := count[string(cell.EventStepPlaced)] + count[string(cell.EventStepPlacedLate)]
 	switch {
+	case startAfterCancel != "":
+		return "started although cancelled: " + startAfterCancel + meanwhile
 	case givenUp != "":
 		return "failed: " + givenUp
 	case count[string(cell.EventJobFailed)] > 0:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -24,6 +24,8 @@
 		{"waits", "ts=1 event=job_taken job=" + id + "\nts=5 event=step_waits job=" + id + " task=" + id + `.0.0 detail="label need=1 registered=9/9 label=0/0" age_ms=10000`, "", "not ended: " + id + ".0.0 waited 10000 ms, held by: label need=1 registered=9/9 label=0/0", 2},
 		{"withdrawn", "ts=1 event=job_taken job=" + id + "\nts=2 event=request_refused job=" + id + " error=log_unavailable", "ts=3 event=request_refused job=" + id + " error=log_unavailable", "not accepted: log_unavailable", 3},
 		{"accepted in the end", "ts=1 event=job_taken job=" + id + "\nts=2 event=request_refused job=" + id + " error=log_unavailable\nts=3 event=job_taken job=" + id, "ts=4 event=job_completed job=" + id, "completed", 4},
+		{"started after the cancelling", "ts=2 event=cancel_answered entry=e1 job=" + id + " answer=not_found holder=e2 token=7", "ts=1 event=job_taken job=" + id + "\nts=3 event=starts_ordered entry=e3 token=9 job=" + id + " task=" + id + ".0.0 runs=0:1@w1", "started although cancelled: runs 0:1@w1 of " + id + ".0.0 were ordered by e3 (token 9) after the cancelling was answered with not_found by e2 (token 7)", 3},
+		{"cancelled after the start", "ts=3 event=cancel_answered job=" + id + " answer=ok\nts=2 event=starts_ordered job=" + id + " runs=0:1@w1", "ts=3 event=job_cancelled job=" + id, "cancelled by its caller", 3},
 		{"order of events", "ts=1 event=job_taken job=" + id + "\nts=9 event=job_completed job=" + id, "ts=2 event=stopping\nts=3 event=claim_made\nts=4 event=log_lost", "completed; meanwhile claim_made (1); meanwhile log_lost (1); meanwhile stopping (1)", 5},
 		{"unknown", "ts=1 event=job_taken job=other", "no pairs here", "no log line mentions the job", 0},
 	} {
