Keep the cancelling of a job that was not submitted yet

Callers that cancelled a job got 410 and the job ran later (UNASKED).

Cause: a DELETE may overtake the POST of its job, which waits in the sockets of a paused process, or on another link to the holder. The holder answered truthfully that there is no such job, but nothing remembered the cancelling, and the POST was accepted seconds later.

Change: the cancelling of an unknown job is stored like the end of a job, marked as not submitted, before the 410 is sent. GET still answers 410. A POST that comes later is answered with 200 and the job is cancelled. It is dropped after status_s. Every answer to a DELETE now rests on a stored record, so neither a paused holder nor a pause between proof and answer can take it back.

Ruled out: a limit on the age of a POST, as a process cannot know how long it waited in its sockets.

--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -23,6 +23,8 @@
 	// EndedUnixMS is the wall-clock time at which the job ended.
 	EndedUnixMS int64  `cbor:"3,keyasint,omitempty"`
 	Queue       string `cbor:"4,keyasint,omitempty"`
+	// Unsubmitted is set if the job was cancelled before it was submitted.
+	Unsubmitted bool `cbor:"5,keyasint,omitempty"`
 }
 
 // progressRecord is the progress of a job that has not ended.
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -58,7 +58,7 @@
 	}
 	if rec.Job == nil {
 		j := s.addJob(&Job{ID: r.Key, Queue: Queue{Name: rec.Queue}})
-		j.final, j.endedUnixMS = rec.Final, rec.EndedUnixMS
+		j.final, j.endedUnixMS, j.unsubmitted = rec.Final, rec.EndedUnixMS, rec.Unsubmitted
 		s.endedJobs = append(s.endedJobs, j)
 		return nil
 	}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -11,6 +11,7 @@
 	recordSeq   uint64 // of the newest record
 	endedUnixMS int64
 	accepted    Instant
+	unsubmitted bool // cancelled before it was submitted
 	started     bool // a task has run
 	restored    bool // read from the log by a new holder; its tasks may be running on any worker
 	dirty       bool // the progress must be written
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -3,9 +3,13 @@
 import "math"
 
 // Submit accepts a job. The caller may be answered once Stored has reached the returned
-// sequence number. A job with a known ID is not accepted again.
+// sequence number. A job with a known ID is not accepted again, and one that was cancelled
+// before it was submitted stays cancelled.
 func (s *Scheduler) Submit(spec *Job) (seq uint64) {
 	if j := s.jobs[spec.ID]; j != nil {
+		if j.unsubmitted {
+			s.submitCancelled(j, spec)
+		}
 		return j.acceptSeq
 	}
 	spec.AcceptedUnixMS = s.unixMS
@@ -17,6 +21,14 @@
 	return j.acceptSeq
 }
 
+// submitCancelled records the submission of a job that was cancelled before.
+func (s *Scheduler) submitCancelled(j *job, spec *Job) {
+	j.unsubmitted = false
+	j.Queue = spec.Queue
+	s.persistEnd(j)
+	j.acceptSeq = j.endSeq
+}
+
 // CanEverRun reports whether the registered workers could run every step of the job if
 // they were empty. It returns true if no worker of the job's service is registered,
 // because then that is unknown.
@@ -208,30 +220,31 @@
 }
 
 // Cancel cancels a job and stops its runs. The caller may be answered once Stored has
-// reached the returned sequence number. Known is false if there is no such job.
+// reached the returned sequence number. Known is false if no job with the ID was submitted.
+// Its submission may still be on its way, so the cancelling is kept for as long as the end of
+// a job, and the job does not run if it is submitted later.
 func (s *Scheduler) Cancel(id string) (seq uint64, known bool) {
 	j := s.jobs[id]
-	if j == nil {
-		return 0, false
-	}
-	if j.final == "" {
+	switch {
+	case j == nil:
+		j = s.addJob(&Job{ID: id})
+		j.unsubmitted = true
+		s.emit(LogEvent{Event: EventUnknownCancelled, Job: id})
+		s.end(j, Cancelled)
+	case j.final == "":
 		s.finish(j, Cancelled)
 	}
-	return j.endSeq, true
+	return j.endSeq, !j.unsubmitted
 }
 
 // finish ends a job: it writes the final state and stops the remaining runs.
 func (s *Scheduler) finish(j *job, final State) {
-	j.final = final
 	s.waitingStale = true
-	j.endedUnixMS = s.unixMS
 	j.dirty = false
+	s.end(j, final)
 	// The drop of the progress comes last: without the progress and the final state, a new
 	// holder would run tasks again that are done.
-	j.endSeq = s.persist(j.ID, encode(jobRecord{Final: final, EndedUnixMS: s.unixMS, Queue: j.Queue.Name}))
-	j.recordSeq = j.endSeq
 	s.persist(j.ID+progressSuffix, nil)
-	s.endedJobs = append(s.endedJobs, j)
 	s.emit(LogEvent{Event: endEvents[final], Failed: final == Failed, Job: j.ID, Detail: j.Queue.Name, AgeMS: int64(s.now - j.accepted)})
 	if final == Completed {
 		return // all runs have ended, or were stopped when another attempt ended first
@@ -243,6 +256,19 @@
 	}
 }
 
+// end sets and writes the final state of a job.
+func (s *Scheduler) end(j *job, final State) {
+	j.final, j.endedUnixMS = final, s.unixMS
+	s.persistEnd(j)
+	s.endedJobs = append(s.endedJobs, j)
+}
+
+// persistEnd writes the final state of a job.
+func (s *Scheduler) persistEnd(j *job) {
+	j.endSeq = s.persist(j.ID, encode(jobRecord{Final: j.final, EndedUnixMS: j.endedUnixMS, Queue: j.Queue.Name, Unsubmitted: j.unsubmitted}))
+	j.recordSeq = j.endSeq
+}
+
 // stopStep stops all runs of a step.
 func (s *Scheduler) stopStep(st *step, reason string) {
 	for _, t := range st.tasks {
@@ -283,7 +309,7 @@
 func (s *Scheduler) Status(id string) (state State, known bool) {
 	j := s.jobs[id]
 	switch {
-	case j == nil || j.acceptSeq > s.stored:
+	case j == nil || j.unsubmitted || j.acceptSeq > s.stored:
 		return "", false
 	case j.final != "" && j.endSeq <= s.stored:
 		return j.final, true
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -131,11 +131,13 @@
 	}
 	h.post(func(s *cell.Scheduler) {
 		seq, known := s.Cancel(id)
-		if !known {
-			h.whenProven(func() { reply(noSuchJob(id)) })
-			return
-		}
-		h.whenStored(seq, func() { reply(nil) })
+		h.whenStored(seq, func() {
+			if !known {
+				reply(noSuchJob(id))
+				return
+			}
+			reply(nil)
+		})
 	})
 }
 
