--- /dev/null
+++ b/internal/cell/life_test.go
@@ -0,0 +1,26 @@
+package cell
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// restart makes a worker return under its ID, as another incarnation.
+func (r *rig) restart(id string) {
+	*r.workers[id] = fakeWorker{incarnation: r.workers[id].incarnation + 1}
+}
+
+// Guards against a restarted worker that stands idle because its former life refused a start.
+func TestPauseEndsWithTheLife(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.workers["w00"].unreachable = true
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	r.s.Started("w00", r.starts[0].Task, r.starts[0].Run, StartUnhealthy)
+	r.workers["w00"].unreachable = false
+	r.advance(2 * searchIntervalMS)
+	assert.Equal(t, len(r.starts), 1, "the worker is paused")
+	r.restart("w00")
+	r.advance(2 * searchIntervalMS)
+	assert.Equal(t, len(r.starts), 2)
+}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -107,7 +107,6 @@
 	if !w.fenced {
 		s.beginLife(w, l.Incarnation)
 		w.fenced = true
-		s.freed = append(s.freed, w)
 	}
 	w.unreachable = false
 	s.resolveLostRuns(w.ID, l.Incarnation)
@@ -133,6 +132,7 @@
 func (s *Scheduler) beginLife(w *worker, incarnation int64) {
 	w.life = newLife(incarnation)
 	delete(s.unstored, w)
+	s.freed = append(s.freed, w)
 }
 
 // closeFormerAttempts closes the attempts of a worker's former incarnation, after the
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -140,7 +140,6 @@
 	attempts     map[runKey]*attempt
 	health       health
 	speed        speed
-	avoidUntil   Instant       // no tasks are placed on the worker before
 	cordoned     bool          // excluded from placement during maintenance of its VM
 	unreachable  bool          // has not answered since a renewal of its lease failed
 	listedClosed bool          // the newest roster lists the worker as closed
@@ -168,7 +167,8 @@
 	endsOmitted  bool    // the newest listing may lack ended tasks
 	lastEnd      uint64  // highest number of a processed end
 	pendingEnds  []*pendingEnd
-	acknowledged uint64 // number up to which ends are acknowledged
+	acknowledged uint64  // number up to which ends are acknowledged
+	avoidUntil   Instant // no tasks are placed on the worker before
 }
 
 func newLife(incarnation int64) life {
