--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -24,3 +24,16 @@
 	r.advance(2 * searchIntervalMS)
 	assert.Equal(t, len(r.starts), 2)
 }
+
+// Guards against a trial that waits for starts of a former life to be over.
+func TestTrialDoesNotWaitForStartsOfAFormerLife(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.advance(10)
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	r.advance(20)
+	r.restart("w00")
+	r.advance(20)
+	assert.Assert(t, r.s.task(r.starts[0].Task).crashes.suspected)
+	r.advance(2 * searchIntervalMS)
+	assert.Equal(t, len(r.starts), 2)
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -144,7 +144,6 @@
 	unreachable  bool          // has not answered since a renewal of its lease failed
 	listedClosed bool          // the newest roster lists the worker as closed
 	leavesAt     Instant       // when a draining worker may leave; 0 if unknown
-	lastStart    Instant       // when a task was last placed on the worker
 	trial        *attempt      // of a suspected task; no other step may start tasks meanwhile
 	keptFor      *step         // for whose trial the worker starts no tasks until keptUntil
 	keptUntil    Instant       // 0 if the worker is not kept
@@ -169,6 +168,7 @@
 	pendingEnds  []*pendingEnd
 	acknowledged uint64  // number up to which ends are acknowledged
 	avoidUntil   Instant // no tasks are placed on the worker before
+	lastStart    Instant // when a task was last placed on the worker; 0 if never
 }
 
 func newLife(incarnation int64) life {
