--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -37,3 +37,18 @@
 	r.advance(2 * searchIntervalMS)
 	assert.Equal(t, len(r.starts), 2)
 }
+
+// Guards against a restarted worker that stands idle for a trial planned on its former life.
+func TestWorkerIsNotKeptForATrialOnAFormerLife(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.advance(10)
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	w := r.s.workers["w00"]
+	w.keptFor, w.keptUntil = r.attempt(0, 0).task.step, r.now+crashWindowMS
+	r.endLast(EndDone)
+	r.submit(oneStep(jobID(2), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	assert.Equal(t, len(r.starts), 1, "the worker is kept for the step of job 1")
+	r.restart("w00")
+	r.advance(2 * searchIntervalMS)
+	assert.Equal(t, len(r.starts), 2)
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -145,8 +145,6 @@
 	listedClosed bool          // the newest roster lists the worker as closed
 	leavesAt     Instant       // when a draining worker may leave; 0 if unknown
 	trial        *attempt      // of a suspected task; no other step may start tasks meanwhile
-	keptFor      *step         // for whose trial the worker starts no tasks until keptUntil
-	keptUntil    Instant       // 0 if the worker is not kept
 	throttledAt  Instant       // when the CPU share of a filler last changed
 	reservations []reservation // made in the current placement pass
 	// rosterSeq is the sequence number of the roster record that contains the worker as
@@ -169,6 +167,8 @@
 	acknowledged uint64  // number up to which ends are acknowledged
 	avoidUntil   Instant // no tasks are placed on the worker before
 	lastStart    Instant // when a task was last placed on the worker; 0 if never
+	keptFor      *step   // for whose trial the worker starts no tasks until keptUntil
+	keptUntil    Instant // 0 if the worker is not kept
 }
 
 func newLife(incarnation int64) life {
