--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -52,3 +52,30 @@
 	r.advance(2 * searchIntervalMS)
 	assert.Equal(t, len(r.starts), 2)
 }
+
+// Guards against fillers that disturb services at full speed because their worker's former life was throttled.
+func TestThrottlingBeginsAnewWithTheLife(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.advance(10)
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 600}, LongRunning: true, TailTargetMS: 100}))
+	r.submit(oneStep(jobID(2), Step{Tasks: 1, Resources: Resources{CPUMilli: 9000}, EstimateMS: 100_000, Filler: true}))
+	setLoad := func(load int64) {
+		for i := range r.workers["w00"].running {
+			r.workers["w00"].running[i].Load = load
+		}
+	}
+	r.advance(2000)
+	setLoad(150)
+	r.advance(checkIntervalMS)
+	assert.Equal(t, len(r.throttles), 1)
+	throttled := r.now
+	r.restart("w00")
+	r.advance(10)
+	assert.Equal(t, len(r.workers["w00"].running), 2, "both run in the new life")
+	setLoad(150)
+	r.advance(checkIntervalMS)
+	r.advance(checkIntervalMS)
+	assert.Assert(t, r.now-throttled < throttleIntervalMS)
+	assert.Equal(t, len(r.throttles), 2)
+	assert.Equal(t, r.throttles[1].Percent, 0)
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -145,7 +145,6 @@
 	listedClosed bool          // the newest roster lists the worker as closed
 	leavesAt     Instant       // when a draining worker may leave; 0 if unknown
 	trial        *attempt      // of a suspected task; no other step may start tasks meanwhile
-	throttledAt  Instant       // when the CPU share of a filler last changed
 	reservations []reservation // made in the current placement pass
 	// rosterSeq is the sequence number of the roster record that contains the worker as
 	// open: 0 if an earlier holder wrote it, notInRoster if the worker needs none.
@@ -169,6 +168,7 @@
 	lastStart    Instant // when a task was last placed on the worker; 0 if never
 	keptFor      *step   // for whose trial the worker starts no tasks until keptUntil
 	keptUntil    Instant // 0 if the worker is not kept
+	throttledAt  Instant // when the CPU share of a filler last changed
 }
 
 func newLife(incarnation int64) life {
