--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -79,3 +79,89 @@
 	assert.Equal(t, len(r.throttles), 2)
 	assert.Equal(t, r.throttles[1].Percent, 0)
 }
+
+// Guards against a faulty VM that gets a clean record with each crash, and against a probation that crashes prolong.
+func TestProbationOutlivesRestartsAndEnds(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.advance(10)
+	w := r.s.workers["w00"]
+	w.health.startProbation(r.now)
+	began, pause := r.now, Instant(w.health.pauseMS)
+	for w.health.probation && r.now-began < 2*(pause+quietProbationMS) {
+		r.restart("w00")
+		r.advance(500)
+	}
+	lasted := r.now - began
+	assert.Assert(t, lasted >= pause+quietProbationMS && lasted <= pause+quietProbationMS+1000, "it lasted %d ms", lasted)
+}
+
+// Guards against a slow VM that is preferred because it has restarted.
+func TestSlownessOutlivesRestart(t *testing.T) {
+	r, slow := slowRig(t, Step{})
+	for _, start := range r.starts[:4] {
+		r.endRun(start.Worker, start.Task, start.Run, EndDone)
+	}
+	r.advance(10)
+	r.restart(slow)
+	r.advance(10)
+	r.submit(oneStep(jobID(2), Step{Tasks: 5, Resources: Resources{CPUMilli: 600}, EstimateMS: 100}))
+	assert.Equal(t, r.starts[len(r.starts)-1].Worker, slow, "used last")
+	assert.Assert(t, !r.s.workers[slow].speed.isSlow(r.now+speedRecoveryMS))
+}
+
+// Guards against tasks on a VM under maintenance whose worker has restarted.
+func TestMaintenanceOutlivesRestart(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.s.Drain("w00", true)
+	r.restart("w00")
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	r.advance(2 * searchIntervalMS)
+	assert.Equal(t, len(r.starts), 0)
+	r.s.Undrain("w00")
+	r.advance(2 * searchIntervalMS)
+	assert.Equal(t, len(r.starts), 1)
+}
+
+// Guards against tasks on a restarted worker that the stored roster lists as closed, for which the next holder would not wait.
+func TestRestartedWorkerWaitsForRoster(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.silence("w00")
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	r.logDown = true
+	r.restart("w00")
+	r.advance(2 * searchIntervalMS)
+	assert.Equal(t, len(r.starts), 0, "the roster does not list the worker as open yet")
+	r.s.Stored(r.s.seq)
+	r.runActions()
+	assert.Equal(t, len(r.starts), 1)
+}
+
+// Guards against other steps' starts beside a suspected task that the new life may still carry out.
+func TestTrialOutlivesRestartWhileItsStartIsOpen(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 2000, MemoryMB: 2000})
+	r.advance(10)
+	r.workers["w00"].unreachable = true // the start is sent but not answered
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+	a := r.attempt(0, 0)
+	r.s.setSuspected(a.task, true)
+	r.s.beginTrial(a)
+	r.s.Started("w00", a.task.id(), a.run, StartUnanswered)
+	r.submit(oneStep(jobID(2), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+	r.restart("w00")
+	r.now += 2 * searchIntervalMS
+	r.s.Tick(r.now, r.unixMS)
+	r.sendListing("w00")
+	stopped := false
+	for _, action := range r.s.Actions() {
+		_, started := action.(Start)
+		assert.Assert(t, !started, "a start before the stop is answered")
+		_, isStop := action.(Stop)
+		stopped = stopped || isStop
+		r.perform(action)
+	}
+	assert.Assert(t, stopped)
+	for range 10 {
+		r.advance(2 * searchIntervalMS)
+	}
+	assert.DeepEqual(t, r.startedTasks(), map[string]int{jobID(1) + ".0.0.0": 2, jobID(2) + ".0.0.0": 1})
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -129,7 +129,9 @@
 	run  uint32
 }
 
-// worker is the state and resource accounting of one worker.
+// worker is the state and resource accounting of one worker. Facts about its process are
+// in life, which a restart replaces; the other fields are about its ID, its VM or the orders
+// of this holder.
 type worker struct {
 	WorkerInfo
 	life
