--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -330,13 +330,14 @@
 		case cell.Persist:
 			h.writer.add(a)
 		case cell.LogEvent:
-			h.logEvent(a)
+			h.logEvent(a, orders.takeStarts(a))
 		}
 	}
 }
 
-// logEvent logs an event and records it in the metrics.
-func (h *holder) logEvent(e cell.LogEvent) {
+// logEvent logs an event, with the runs that it is about if they are known, and records it in
+// the metrics.
+func (h *holder) logEvent(e cell.LogEvent, runs string) {
 	h.node.meters.record(e)
 	level := zapcore.InfoLevel
 	if e.Failed {
@@ -346,8 +347,8 @@
 	if checked == nil {
 		return
 	}
-	fields := make([]zap.Field, 0, 6)
-	for _, f := range [...]struct{ key, value string }{{"job", e.Job}, {"task", e.Task}, {"worker", e.Worker}, {"detail", e.Detail}} {
+	fields := make([]zap.Field, 0, 7)
+	for _, f := range [...]struct{ key, value string }{{"job", e.Job}, {"task", e.Task}, {"worker", e.Worker}, {"detail", e.Detail}, {"runs", runs}} {
 		if f.value != "" {
 			fields = append(fields, zap.String(f.key, f.value))
 		}
--- a/internal/entry/orderlog_test.go
+++ b/internal/entry/orderlog_test.go
@@ -24,6 +24,11 @@
 	orders.stop(cell.Stop{Worker: "w3", Task: cell.TaskID{Job: "j", Step: 2, Index: 3}, Run: 4, Reason: "job_cancelled"})
 	orders.flush()
 	orders.flush()
+	orders.start(cell.Start{Worker: "w4", Task: cell.TaskID{Job: "j", Step: 3}, Run: 1})
+	assert.Equal(t, orders.takeStarts(cell.LogEvent{Event: cell.EventStepPlaced, Task: "j.0.2"}), "")
+	assert.Equal(t, orders.takeStarts(cell.LogEvent{Event: cell.EventStepWaits, Task: "j.0.3"}), "")
+	assert.Equal(t, orders.takeStarts(cell.LogEvent{Event: cell.EventStepPlaced, Task: "j.0.3"}), "0:1@w4")
+	orders.flush()
 
 	entries := logs.All()
 	assert.Equal(t, len(entries), 4)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -119,7 +119,7 @@
 			lastRefusal = l.Fields["error"]
 		case "cancel_answered":
 			cancelAnswer = fmt.Sprintf("the cancelling was answered with %s by %s (token %s)", l.Fields["answer"], l.Fields["holder"], l.Fields["token"])
-		case "starts_ordered":
+		case "starts_ordered", string(cell.EventStepPlaced), string(cell.EventStepPlacedLate):
 			if cancelAnswer != "" && startAfterCancel == "" {
 				startAfterCancel = fmt.Sprintf("runs %s of %s were ordered by %s (token %s) after %s", l.Fields["runs"], l.Fields["task"], l.Fields["entry"], l.Fields["token"], cancelAnswer)
 			}
