Store the submission of a cancelled job although the log is silent

A POST that came after the cancelling of its job and was answered with 200 was not stored, and a second DELETE got no answer until another record was stored.

Cause: the record that turns the cancelling into a cancelled job was taken for the unsent acceptance of a job, and removed from the queue of the writer while the log was silent.

Change: only jobs that have not ended are withdrawn.

--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -67,11 +67,18 @@
 	return !known
 }
 
-// Withdraw deletes a job whose record was not sent to the log. None of its tasks has
-// been started.
+// MayWithdraw reports whether a job may be withdrawn if its record was not sent to the log.
+// The end of a job, also of one that was cancelled before it was submitted, must be stored.
+func (s *Scheduler) MayWithdraw(id string) bool {
+	j := s.jobs[id]
+	return j != nil && j.final == "" && j.acceptSeq > s.stored
+}
+
+// Withdraw deletes a job whose record was not sent to the log, if MayWithdraw allows it. None
+// of its tasks has been started.
 func (s *Scheduler) Withdraw(id string) {
-	if j := s.jobs[id]; j != nil && j.final == "" && j.acceptSeq > s.stored {
-		j.final = Cancelled
+	if s.MayWithdraw(id) {
+		s.jobs[id].final = Cancelled
 		s.waitingStale = true
 		delete(s.jobs, id)
 	}
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -26,7 +26,7 @@
 func (h *holder) refuseUnsent() {
 	kept := h.pendingAccepts[:0]
 	for _, a := range h.pendingAccepts {
-		if h.writer.remove(a.seq) {
+		if h.sched.MayWithdraw(a.id) && h.writer.remove(a.seq) {
 			h.sched.Withdraw(a.id)
 		}
 		if h.sched.HasJob(a.id) {
