Keep a job that was cancelled before its submission from the submission on

A cancelled job ran: its submission came 119 s after the cancelling, was answered with 200, and its repeat 3 s later found no record.

Cause: the end of such a job counted from the cancelling, so it was dropped status_s after that.

Change: the submission sets the end anew.

Evidence: TestRepeatedSubmissionOfJobCancelledBeforeStaysCancelled failed before (1 start).

--- a/internal/cell/cancel_test.go
+++ b/internal/cell/cancel_test.go
@@ -46,3 +46,19 @@
 	assert.Assert(t, r.log[jobID(1)] == nil)
 	assert.Assert(t, !r.s.HasJob(jobID(1)))
 }
+
+// Guards against a cancelled job that runs because its submission arrived twice and the cancelling was dropped in between.
+func TestRepeatedSubmissionOfJobCancelledBeforeStaysCancelled(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 8000, MemoryMB: 8000})
+	r.s.Cancel(jobID(1))
+	r.runActions()
+	r.advance(119_000)
+	r.s.Submit(cancelTestJob())
+	r.runActions()
+	assert.Equal(t, r.state(jobID(1)), Cancelled)
+	r.advance(3_000)
+	r.s.Submit(cancelTestJob())
+	r.runActions()
+	assert.Equal(t, len(r.starts), 0)
+	assert.Equal(t, r.state(jobID(1)), Cancelled)
+}
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -1,6 +1,9 @@
 package cell
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Submit accepts a job. The caller may be answered once Stored has reached the returned
 // sequence number. A job with a known ID is not accepted again, and one that was cancelled
@@ -21,11 +24,13 @@
 	return j.acceptSeq
 }
 
-// submitCancelled records the submission of a job that was cancelled before.
+// submitCancelled records the submission of a job that was cancelled before. The job is kept
+// from now on, because the submission may be repeated.
 func (s *Scheduler) submitCancelled(j *job, spec *Job) {
 	j.unsubmitted = false
 	j.Queue = spec.Queue
-	s.persistEnd(j)
+	s.endedJobs = slices.DeleteFunc(s.endedJobs, func(other *job) bool { return other == j })
+	s.end(j, Cancelled)
 	j.acceptSeq = j.endSeq
 }
 
@@ -266,14 +271,9 @@
 // end sets and writes the final state of a job.
 func (s *Scheduler) end(j *job, final State) {
 	j.final, j.endedUnixMS = final, s.unixMS
-	s.persistEnd(j)
-	s.endedJobs = append(s.endedJobs, j)
-}
-
-// persistEnd writes the final state of a job.
-func (s *Scheduler) persistEnd(j *job) {
-	j.endSeq = s.persist(j.ID, encode(jobRecord{Final: j.final, EndedUnixMS: j.endedUnixMS, Queue: j.Queue.Name, Unsubmitted: j.unsubmitted}))
+	j.endSeq = s.persist(j.ID, encode(jobRecord{Final: final, EndedUnixMS: s.unixMS, Queue: j.Queue.Name, Unsubmitted: j.unsubmitted}))
 	j.recordSeq = j.endSeq
+	s.endedJobs = append(s.endedJobs, j)
 }
 
 // stopStep stops all runs of a step.
