Age ended jobs by steady time

A step of the wall clock by more than status_s dropped all ends and cancellings at once: a late repeat of a submission ran again, and a GET was answered with 410.

Cause: the age of an end was the difference of two wall-clock times.

Change: an end ages on the holder's monotonic clock; only the age of restored ends is taken from the wall clock, once.

--- a/internal/cell/cancel_test.go
+++ b/internal/cell/cancel_test.go
@@ -62,3 +62,15 @@
 	assert.Equal(t, len(r.starts), 0)
 	assert.Equal(t, r.state(jobID(1)), Cancelled)
 }
+
+// Guards against a cancelled job that runs because a step of the wall clock dropped its cancelling.
+func TestStepOfWallClockKeepsCancelling(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 8000, MemoryMB: 8000})
+	r.s.Cancel(jobID(1))
+	r.runActions()
+	r.unixMS += 200_000
+	r.advance(100)
+	r.s.Submit(cancelTestJob())
+	r.runActions()
+	assert.Equal(t, len(r.starts), 0)
+}
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -33,7 +33,7 @@
 		}
 	}
 	// dropEndedJobs expects them in the order of their ends.
-	slices.SortFunc(s.endedJobs, func(a, b *job) int { return cmp.Compare(a.endedUnixMS, b.endedUnixMS) })
+	slices.SortFunc(s.endedJobs, func(a, b *job) int { return cmp.Compare(a.ended, b.ended) })
 	for _, j := range s.jobs {
 		if j.final == "" {
 			s.resumeJob(j)
@@ -58,7 +58,8 @@
 	}
 	if rec.Job == nil {
 		j := s.addJob(&Job{ID: r.Key, Queue: Queue{Name: rec.Queue}})
-		j.final, j.endedUnixMS, j.unsubmitted = rec.Final, rec.EndedUnixMS, rec.Unsubmitted
+		j.final, j.unsubmitted = rec.Final, rec.Unsubmitted
+		j.ended = s.now - Instant(max(s.unixMS-rec.EndedUnixMS, 0))
 		s.endedJobs = append(s.endedJobs, j)
 		return nil
 	}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -7,9 +7,9 @@
 	*Job
 	final       State // empty until the job has ended
 	acceptSeq   uint64
-	endSeq      uint64 // of the record with the final state
-	recordSeq   uint64 // of the newest record
-	endedUnixMS int64
+	endSeq      uint64  // of the record with the final state
+	recordSeq   uint64  // of the newest record
+	ended       Instant // on this holder's clock, so that steps of the wall clock do not age it
 	accepted    Instant
 	unsubmitted bool // cancelled before it was submitted
 	started     bool // a task has run
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -270,7 +270,7 @@
 
 // end sets and writes the final state of a job.
 func (s *Scheduler) end(j *job, final State) {
-	j.final, j.endedUnixMS = final, s.unixMS
+	j.final, j.ended = final, s.now
 	j.endSeq = s.persist(j.ID, encode(jobRecord{Final: final, EndedUnixMS: s.unixMS, Queue: j.Queue.Name, Unsubmitted: j.unsubmitted}))
 	j.recordSeq = j.endSeq
 	s.endedJobs = append(s.endedJobs, j)
@@ -304,7 +304,7 @@
 // dropEndedJobs deletes jobs that ended more than Config.KeepEndedMS ago.
 func (s *Scheduler) dropEndedJobs() {
 	n := 0
-	for n < len(s.endedJobs) && s.unixMS-s.endedJobs[n].endedUnixMS > s.cfg.KeepEndedMS {
+	for n < len(s.endedJobs) && int64(s.now-s.endedJobs[n].ended) > s.cfg.KeepEndedMS {
 		s.persist(s.endedJobs[n].ID, nil)
 		delete(s.jobs, s.endedJobs[n].ID)
 		n++
