Send no start after the term has ended or its release has begun

A start that waited for a slot of its worker was sent although the term had ended, or the cell was being released: the context of the session was not looked at again, and a release was not looked at at all. A next holder that did not reach the worker could have placed the task elsewhere, or cancelled its job, before a paused process sent the start.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -298,13 +298,13 @@
 }
 
 // startDeadline returns the deadline of a start that is sent now, and whether one may be
-// sent: the worker must answer renewals, or its clock is not known, and the lease that the
-// start gives must end before a next holder that does not reach the worker places its tasks
-// elsewhere.
+// sent: the worker must answer renewals, or its clock is not known, the term must not have
+// ended nor its release begun, and the lease that the start gives must end before a next holder
+// that does not reach the worker places its tasks elsewhere.
 func (s *session) startDeadline() (deadlineMS int64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.answering || s.holder.sinceConfirmed() >= authorityPeriod+s.leaseDuration()-startWindow {
+	if !s.answering || s.ctx.Err() != nil || s.holder.isReleasing() || s.holder.sinceConfirmed() >= authorityPeriod+s.leaseDuration()-startWindow {
 		return 0, false
 	}
 	return s.life.deadline(startWindow), true
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -112,3 +112,27 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, s.tryStart(cell.Start{}), cell.StartNotSent)
 }
+
+// Guards against starts that a holder sends after its term has ended, such as those that waited for a slot.
+func TestNoStartIsSentAfterTheTerm(t *testing.T) {
+	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{Controller: newFakeFleet(1)}), 0), claim{Term: 1}, 0)
+	fleet := h.node.platform.Controller.(*fakeFleet)
+	s := newSession(h, Target{ID: "w0", Address: "w0"})
+	s.recordResponse(1, fakeClockMS())
+	h.endTerm("claim_superseded")
+	for range 50 {
+		s.tryStart(cell.Start{Worker: "w0"})
+	}
+	assert.Equal(t, fleet.started(), 0)
+}
+
+// Guards against starts that a holder sends after a planned release of the cell has begun.
+func TestNoStartIsSentDuringRelease(t *testing.T) {
+	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{Controller: newFakeFleet(1)}), 0), claim{Term: 1}, 0)
+	fleet := h.node.platform.Controller.(*fakeFleet)
+	s := newSession(h, Target{ID: "w0", Address: "w0"})
+	s.recordResponse(1, fakeClockMS())
+	close(h.releasing)
+	s.tryStart(cell.Start{Worker: "w0"})
+	assert.Equal(t, fleet.started(), 0)
+}
