End a term when a probe finds its lane fenced

While the claims do not answer, a holder probes its lane to see whether it is still the holder. It logged the answer 'fenced' at debug level and went on ordering starts until its next record, or for up to 7 s. It now ends the term.

Evidence: TestFencedProbeEndsTerm failed before.

--- a/internal/entry/term_test.go
+++ b/internal/entry/term_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 )
 
@@ -130,3 +131,19 @@
 		t.Fatal("the term has not ended")
 	}
 }
+
+// Guards against a former holder that goes on although the log has told it that its lane is fenced.
+func TestFencedProbeEndsTerm(t *testing.T) {
+	log := newFakeLog()
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000, Logger: zap.NewNop()}, Platform{Log: log}), 0)
+	h := newHolder(a, claim{Holder: "a", Token: 5, Term: 1, Lanes: firstLane}, 0)
+	defer h.cancel()
+	log.setOutage(topicClaims, a.claims.partition, refuses)
+	assert.NilError(t, newRecordWriter(log, 0, 0, 9, zap.NewNop()).fence(within(time.Second), 0))
+	h.spawn("the renewals of the claim", func() { h.keepClaim(5) })
+	select {
+	case <-h.ctx.Done():
+	case <-time.After(2 * time.Second):
+		t.Fatal("the term goes on")
+	}
+}
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -116,12 +116,16 @@
 }
 
 // probe makes an empty append to the current lane and reports whether it succeeded. If
-// so, no new holder has fenced the lane.
+// so, no new holder has fenced the lane. If one has, it calls onFenced.
 func (w *recordWriter) probe(ctx context.Context) bool {
 	w.mu.Lock()
 	lane := w.lane
 	w.mu.Unlock()
-	return w.append(ctx, lane, nil, 0) == nil
+	err := w.append(ctx, lane, nil, 0)
+	if isFenced(err) {
+		w.onFenced()
+	}
+	return err == nil
 }
 
 func isFenced(err error) bool {
