Append the progress of a maintenance wave under a condition

A progress record of a former holder that is carried out late set the progress back, and the next holder would drain VMs again whose maintenance had been done.

Cause: the record was appended without an epoch or a condition.

Change: progress is added to what is stored, under the condition that the partition still ends where that was read. Ruled out: the epoch of the holder, as holders of several cells write to the partition and their tokens cannot be compared.

Evidence: TestFormerHolderDoesNotSetWaveBack failed before.

--- a/internal/entry/maintenance.go
+++ b/internal/entry/maintenance.go
@@ -159,23 +159,57 @@
 	return h.writeProgress(ctx, wave, waveProgress{CellsDone: h.agent.cell + 1})
 }
 
+// writeProgress adds to the stored progress of a wave. The append has the condition that the
+// partition still ends where the progress was read, so one of a former holder that is carried
+// out late does not set the progress back.
 func (h *holder) writeProgress(ctx context.Context, wave int64, p waveProgress) error {
-	_, err := h.node.platform.Log.Append(ctx, Append{Topic: topicWaves, Records: []cell.Record{{Key: waveKey(wave), Value: mustMarshal(p)}}})
-	return err
+	for {
+		stored, end, err := h.readProgressAndEnd(ctx, wave)
+		if err != nil {
+			return err
+		}
+		_, err = h.node.platform.Log.Append(ctx, Append{
+			Topic: topicWaves, ExpectedEnd: &end,
+			Records: []cell.Record{{Key: waveKey(wave), Value: mustMarshal(stored.merge(p))}},
+		})
+		if !isEndMismatch(err) || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// merge returns the progress that both have made together. VMsDone is about the cell that
+// CellsDone says is next, so the progress with more cells counts alone.
+func (p waveProgress) merge(o waveProgress) waveProgress {
+	switch {
+	case p.CellsDone > o.CellsDone:
+		return p
+	case p.CellsDone < o.CellsDone:
+		return o
+	}
+	vms := slices.Concat(p.VMsDone, o.VMsDone)
+	slices.Sort(vms)
+	p.VMsDone = slices.Compact(vms)
+	return p
 }
 
 func (h *holder) readProgress(ctx context.Context, wave int64) (waveProgress, error) {
-	records, _, err := h.node.platform.Log.Newest(ctx, topicWaves, 0)
+	p, _, err := h.readProgressAndEnd(ctx, wave)
+	return p, err
+}
+
+// readProgressAndEnd returns the progress of a wave, and the end of the partition.
+func (h *holder) readProgressAndEnd(ctx context.Context, wave int64) (p waveProgress, end int64, err error) {
+	records, end, err := h.node.platform.Log.Newest(ctx, topicWaves, 0)
 	if err != nil {
-		return waveProgress{}, err
+		return waveProgress{}, 0, err
 	}
-	var p waveProgress
 	for _, r := range records {
 		if r.Key == waveKey(wave) {
 			err = cbor.Unmarshal(r.Value, &p)
 		}
 	}
-	return p, err
+	return p, end, err
 }
 
 // maintainVMs drains VMs of this cell and takes empty ones down, within the limit of
--- a/internal/entry/maintenance_test.go
+++ b/internal/entry/maintenance_test.go
@@ -8,7 +8,10 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/cell"
 )
 
 // fakeMaintenance takes VMs down for a fixed time and records how many were down
@@ -161,3 +164,29 @@
 		})
 	}
 }
+
+// Guards against a delayed record of a former holder that sets the progress of a wave back, so that VMs are drained again.
+func TestFormerHolderDoesNotSetWaveBack(t *testing.T) {
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1, Logger: zap.NewNop()}, Platform{Log: newFakeLog()}), 0)
+	former, next := newHolder(a, claim{Token: 5, Term: 1}, 0), newHolder(a, claim{Token: 9, Term: 2}, 0)
+	assert.NilError(t, next.writeProgress(within(time.Second), 1, waveProgress{VMsDone: []string{"m1", "m2"}}))
+	_ = former.writeProgress(within(time.Second), 1, waveProgress{VMsDone: []string{"m1"}})
+	progress, err := next.readProgress(within(time.Second), 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, progress.VMsDone, []string{"m1", "m2"})
+}
+
+// Guards against an append of a former holder that is carried out after the progress of the next one.
+func TestDelayedProgressOfWaveIsRefused(t *testing.T) {
+	log := newFakeLog()
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1, Logger: zap.NewNop()}, Platform{Log: log}), 0)
+	h := newHolder(a, claim{Token: 9, Term: 2}, 0)
+	_, end, err := h.readProgressAndEnd(within(time.Second), 1)
+	assert.NilError(t, err)
+	assert.NilError(t, h.writeProgress(within(time.Second), 1, waveProgress{VMsDone: []string{"m1", "m2"}}))
+	_, err = log.Append(within(time.Second), Append{Topic: topicWaves, ExpectedEnd: &end, Records: []cell.Record{{Key: waveKey(1), Value: mustMarshal(waveProgress{VMsDone: []string{"m1"}})}}})
+	assert.Assert(t, isEndMismatch(err), "%v", err)
+	progress, err := h.readProgress(within(time.Second), 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, progress.VMsDone, []string{"m1", "m2"})
+}
