Explain cancellings by tokens, and log one of an unknown job once it is stored

explain named wrong causes: a start that a worker refused, or that only the skew of clocks put after the cancelling, was blamed; a job that completed after its cancelling, or was cancelled before its submission, was not. It now compares tokens, skips refused starts and names these cases, and shows records_read, record_skipped, lane_changed and log_lines_dropped in between.

unknown_job_cancelled was logged before the record was stored, also by holders that had been superseded. The late submission of such a job logs job_cancelled.

--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -76,7 +76,6 @@
 	EventJobCompleted       Event = "job_completed"
 	EventJobFailed          Event = "job_failed"
 	EventJobCancelled       Event = "job_cancelled"
-	EventUnknownCancelled   Event = "unknown_job_cancelled"
 	EventPermitsGiven       Event = "permits_given"
 	EventPermitsFailed      Event = "permits_failed"
 	EventStepPlaced         Event = "step_placed"
@@ -109,8 +108,7 @@
 	{EventJobAccepted, "a job was submitted; it is accepted once its record is stored", "", "queue"},
 	{EventJobCompleted, "all tasks of a job are done", "age of the job", "queue"},
 	{EventJobFailed, "a task or gang has failed as often as the queue allows, or a task has crashed its workers", "age of the job", "queue"},
-	{EventJobCancelled, "the caller cancelled the job", "age of the job", "queue"},
-	{EventUnknownCancelled, "a caller cancelled a job that was not submitted; it does not run if it is submitted later", "", ""},
+	{EventJobCancelled, "the caller cancelled the job, or submitted a job that was cancelled before", "age of the job", "queue"},
 	{EventPermitsGiven, "the policy service answered a call for a step", "duration of the call", "workers allowed/named in the call; worker is the calling entry process"},
 	{EventPermitsFailed, "the policy service did not answer a call for a step; the step requests permits again", "duration of the call", "worker is the calling entry process"},
 	{EventStepPlaced, "tasks of a step were placed", "wait since the step was ready", "queue, tasks placed/all"},
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -32,6 +32,7 @@
 	s.endedJobs = slices.DeleteFunc(s.endedJobs, func(other *job) bool { return other == j })
 	s.end(j, Cancelled)
 	j.acceptSeq = j.endSeq
+	s.emit(LogEvent{Event: EventJobCancelled, Job: j.ID, Detail: j.Queue.Name})
 }
 
 // CanEverRun reports whether the registered workers could run every step of the job if
@@ -241,7 +242,6 @@
 	case j == nil:
 		j = s.addJob(&Job{ID: id})
 		j.unsubmitted = true
-		s.emit(LogEvent{Event: EventUnknownCancelled, Job: id})
 		s.end(j, Cancelled)
 	case j.final == "":
 		s.finish(j, Cancelled)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 	"github.com/fulmarlatch/fulmarlatch/internal/link"
@@ -132,11 +134,12 @@
 	h.post(func(s *cell.Scheduler) {
 		seq, known := s.Cancel(id)
 		h.whenStored(seq, func() {
-			if !known {
-				reply(noSuchJob(id))
+			if known {
+				reply(nil)
 				return
 			}
-			reply(nil)
+			h.logger.Info("unknown_job_cancelled", zap.String("job", id))
+			reply(noSuchJob(id))
 		})
 	})
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -65,6 +65,7 @@
 var contextEvents = map[string]bool{
 	"log_lost": true, "log_regained": true, "claim_made": true, "holder_lost": true, "holder_ended": true,
 	"holder_too_slow": true, "holder_yields": true, "panic": true, "holder_without_log": true, "stopping": true,
+	"records_read": true, "record_skipped": true, "lane_changed": true, "log_lines_dropped": true,
 }
 
 // report merges the lines in order of time and determines the cause.
@@ -88,7 +89,7 @@
 // cancelling, failure, cancellation, refusal, late placement and repeated runs that the lines show.
 func cause(lines []Line) string {
 	count := map[string]int{}
-	var lastRefusal, lastFailure, givenUp, lateDetail, lastWait, cancelAnswer, startAfterCancel string
+	var lastRefusal, lastFailure, givenUp, lateDetail, lastWait string
 	var longestWait, longestWaitMS = "", int64(0)
 	withdrawn := false // refused after it was submitted, because its record was not sent
 	for _, l := range lines {
@@ -117,12 +118,6 @@
 			withdrawn, lastRefusal = true, l.Fields["error"]
 		case "request_unanswered":
 			lastRefusal = l.Fields["error"]
-		case "cancel_answered":
-			cancelAnswer = fmt.Sprintf("the cancelling was answered with %s by %s (token %s)", l.Fields["answer"], l.Fields["holder"], l.Fields["token"])
-		case "starts_ordered", string(cell.EventStepPlaced), string(cell.EventStepPlacedLate):
-			if cancelAnswer != "" && startAfterCancel == "" {
-				startAfterCancel = fmt.Sprintf("runs %s of %s were ordered by %s (token %s) after %s", l.Fields["runs"], l.Fields["task"], l.Fields["entry"], l.Fields["token"], cancelAnswer)
-			}
 		}
 	}
 	meanwhile := ""
@@ -133,14 +128,16 @@
 	}
 	placed := count[string(cell.EventStepPlaced)] + count[string(cell.EventStepPlacedLate)]
 	switch {
-	case startAfterCancel != "":
-		return "started although cancelled: " + startAfterCancel + meanwhile
+	case afterCancel(lines) != "":
+		return afterCancel(lines) + meanwhile
 	case givenUp != "":
 		return "failed: " + givenUp
 	case count[string(cell.EventJobFailed)] > 0:
 		return "failed: " + lastFailure + ", which exhausted the attempts that the queue allows"
 	case count[string(cell.EventJobCancelled)] > 0:
 		return "cancelled by its caller"
+	case count["unknown_job_cancelled"] > 0 && count[string(cell.EventJobAccepted)] == 0:
+		return "cancelled by its caller before it was submitted"
 	case lastRefusal != "" && (count[string(cell.EventJobAccepted)] == 0 || withdrawn && placed == 0):
 		return "not accepted: " + lastRefusal + meanwhile
 	case lateDetail != "":
