Pause a worker after a start that came too late

Cause, from the source and the log: the answer to a renewal that waited through the pause makes the worker's clock seem behind until the next renewal, and a start that was refused as too late was repeated at once.

Evidence: TestLateStartIsNotRepeatedAtOnce failed before (21 starts in 200 ms).

--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -307,7 +307,7 @@
 func (s *Scheduler) handleRefusal(a *attempt, outcome StartOutcome) {
 	w, st := a.worker, a.task.step
 	switch outcome {
-	case StartUnhealthy, StartNoCapacity, StartFenced, StartWrongIncarnation, StartNotSent:
+	case StartUnhealthy, StartNoCapacity, StartFenced, StartWrongIncarnation, StartNotSent, StartTooLate:
 		w.avoidUntil = s.now + unhealthyPauseMS
 	case StartNoPermit:
 		st.permits.expire(w.ID)
--- a/internal/cell/place_test.go
+++ b/internal/cell/place_test.go
@@ -113,3 +113,19 @@
 	assert.Equal(t, len(r.starts), 3)
 	assert.Equal(t, r.starts[2].Worker, failed)
 }
+
+// Guards against a storm of starts to a worker whose clock is estimated wrongly, each refused as too late.
+func TestLateStartIsNotRepeatedAtOnce(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.workers["w00"].unreachable = true
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	for range 20 {
+		last := r.starts[len(r.starts)-1]
+		r.s.Started("w00", last.Task, last.Run, StartTooLate)
+		r.advance(10)
+	}
+	assert.Equal(t, len(r.starts), 1)
+	r.advance(unhealthyPauseMS)
+	r.advance(2 * searchIntervalMS)
+	assert.Equal(t, len(r.starts), 2)
+}
