Print the states of the entry processes when a wait of package test fails

The end of each log was printed, but not whether the paused process ran, who was linked, whether the log was up and whether an append or events were pending.

Changed: a wait that fails prints the dump of each process, without its long lists, while the proxies still forward. A process that is paused gives none. dump returns the zero value also if only the decoding fails, as its comment says. No condition or limit of a test changes.

--- a/test/cell_test.go
+++ b/test/cell_test.go
@@ -15,9 +15,11 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -174,6 +176,21 @@
 	}
 }
 
+// showStates prints the state of each entry process that answers. A process that is
+// paused does not answer.
+func (c *cell) showStates() {
+	for _, name := range slices.Sorted(maps.Keys(c.entries)) {
+		d, err := c.entries[name].readDump()
+		if err != nil {
+			c.t.Logf("%s: no state: %v", name, err)
+			continue
+		}
+		d.Core.Held, d.Core.Queue, d.Core.Workers, d.Links = nil, nil, nil, nil // long
+		data, err := json.Marshal(d)
+		c.t.Logf("%s: %s %v", name, data, err)
+	}
+}
+
 // showLogs prints the last 6000 bytes of each process's log.
 func (c *cell) showLogs() {
 	files, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
@@ -299,9 +316,15 @@
 	assert.NilError(c.t, err)
 }
 
-// await waits until the condition holds, and fails the test after conditionTimeout.
+// await waits until the condition holds, and fails the test after conditionTimeout. It
+// then prints the states of the entry processes, before the proxies are closed.
 func (c *cell) await(what string, condition func() bool) {
 	c.t.Helper()
+	defer func() {
+		if c.t.Failed() {
+			c.showStates()
+		}
+	}()
 	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
 		if condition() {
 			return poll.Success()
@@ -349,14 +372,21 @@
 
 // dump returns the process's state dump, or the zero value on an error.
 func (e *entry) dump() node.Dump {
+	d, err := e.readDump()
+	if err != nil {
+		return node.Dump{}
+	}
+	return d
+}
+
+func (e *entry) readDump() (d node.Dump, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	var d node.Dump
 	data, err := e.operator.Dump(ctx)
 	if err == nil {
-		_ = json.Unmarshal(data, &d)
+		err = json.Unmarshal(data, &d)
 	}
-	return d
+	return d, err
 }
 
 // kill kills an entry process, as the failure of its VM would. The VM stays in the
