Pass on the turn of a wave after an append that failed

A wave stalled for the rest of a term if the append that passes the turn to the next cell failed once: the error was returned together with 'done', and the wave was not looked at again.

Evidence: TestTurnOfWaveIsPassedOnAfterFailedAppend failed before.

--- a/internal/entry/maintenance.go
+++ b/internal/entry/maintenance.go
@@ -145,7 +145,8 @@
 	if left := h.maintainVMs(ctx, run, vms); left > 0 {
 		return false, nil
 	}
-	return true, h.finishTurn(ctx, run.Number)
+	err = h.finishTurn(ctx, run.Number)
+	return err == nil, err
 }
 
 // finishTurn passes the wave to the next cell. The last cell reports it as completed.
@@ -172,7 +173,7 @@
 			Topic: topicWaves, ExpectedEnd: &end,
 			Records: []cell.Record{{Key: waveKey(wave), Value: mustMarshal(stored.merge(p))}},
 		})
-		if !isEndMismatch(err) || ctx.Err() != nil {
+		if !isEndMismatch(err) || !clock.Sleep(ctx, retryDelay) {
 			return err
 		}
 	}
--- a/internal/entry/maintenance_test.go
+++ b/internal/entry/maintenance_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -190,3 +191,60 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, progress.VMsDone, []string{"m1", "m2"})
 }
+
+// Guards against a wave that never reaches the next cell because one append of the progress failed.
+func TestTurnOfWaveIsPassedOnAfterFailedAppend(t *testing.T) {
+	log, m := &refusingLog{fakeLog: newFakeLog(), topic: topicWaves}, newFakeMaintenance(0, time.Second)
+	n := NewNode(Config{Name: "a", Cells: 2, LeaseMS: 6000, Logger: zap.NewNop()}, Platform{Log: log, Maintenance: m})
+	h := newHolder(newAgent(n, 0), claim{Token: 5, Term: 1}, 0)
+	defer h.cancel()
+	go h.runWaves()
+	time.Sleep(5 * waveInterval)
+	assert.Assert(t, log.refused.Load())
+	progress, err := h.readProgress(context.Background(), 1)
+	assert.NilError(t, err)
+	assert.Equal(t, progress.CellsDone, 1)
+}
+
+// Guards against progress of a wave that is lost because an append was carried out after the progress of another holder.
+func TestLateAppendKeepsProgressOfWave(t *testing.T) {
+	log := &lateLog{fakeLog: newFakeLog(), topic: topicWaves}
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1, Logger: zap.NewNop()}, Platform{Log: log}), 0)
+	former, next := newHolder(a, claim{Token: 5, Term: 1}, 0), newHolder(a, claim{Token: 9, Term: 2}, 0)
+	log.between = func() {
+		assert.NilError(t, next.writeProgress(within(time.Second), 1, waveProgress{VMsDone: []string{"m1", "m2"}}))
+	}
+	assert.NilError(t, former.writeProgress(within(time.Second), 1, waveProgress{VMsDone: []string{"m1"}}))
+	progress, err := next.readProgress(within(time.Second), 1)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, progress.VMsDone, []string{"m1", "m2"})
+}
+
+// refusingLog is a log that refuses the first append to a topic.
+type refusingLog struct {
+	*fakeLog
+	topic   string
+	refused atomic.Bool
+}
+
+func (l *refusingLog) Append(ctx context.Context, a Append) (int64, error) {
+	if a.Topic == l.topic && l.refused.CompareAndSwap(false, true) {
+		return 0, &AppendError{Failure: AppendRefused, Err: errSilentLog}
+	}
+	return l.fakeLog.Append(ctx, a)
+}
+
+// lateLog is a log that carries out the first append to a topic after another one, which is made in between.
+type lateLog struct {
+	*fakeLog
+	topic   string
+	between func()
+	delayed atomic.Bool
+}
+
+func (l *lateLog) Append(ctx context.Context, a Append) (int64, error) {
+	if a.Topic == l.topic && l.delayed.CompareAndSwap(false, true) {
+		l.between()
+	}
+	return l.fakeLog.Append(ctx, a)
+}
