Explain starts of a former holder after a cancelling, and match refusals by run

A start of a holder with a lower token than that of the answer was not named, although a worker that the next holder has not reached may take it; and one refused start excused all runs of its step.

--- a/internal/explain/cancel.go
+++ b/internal/explain/cancel.go
@@ -22,14 +22,14 @@
 	answer := &lines[at]
 	text := fmt.Sprintf("the cancelling was answered with %s by %s (token %s)", answer.Fields["answer"], answer.Fields["holder"], answer.Fields["token"])
 	for i := at + 1; i < len(lines); i++ {
-		if l := &lines[i]; l.isStart() && l.token() >= answer.token() && !endsLater(lines[i:], l.token()) && !allRefused(lines[i:], l) {
+		if l := &lines[i]; l.isStart() && !endsLater(lines[i:], l.token()) && !allRefused(lines[i:], l) {
 			return fmt.Sprintf("started although cancelled: runs %s of %s were ordered by %s (token %s) after %s",
 				l.Fields["runs"], l.Fields["task"], l.Fields["entry"], l.Fields["token"], text)
 		}
 	}
 	for i := at + 1; i < len(lines); i++ {
 		// The lines of one holder are in order, those of different processes may not be.
-		if l := &lines[i]; l.Fields["event"] == string(cell.EventJobCompleted) && l.token() != answer.token() {
+		if l := &lines[i]; l.Fields["event"] == string(cell.EventJobCompleted) && (l.token() == 0 || l.token() > answer.token()) {
 			return fmt.Sprintf("completed although cancelled: by %s (token %s) after %s", l.Fields["entry"], l.Fields["token"], text)
 		}
 	}
@@ -56,12 +56,20 @@
 
 // allRefused reports whether workers have refused all runs of a line of starts.
 func allRefused(lines []Line, start *Line) bool {
-	refused := 0
-	for _, l := range lines {
-		if l.Fields["event"] == string(cell.EventStartRefused) && l.Fields["detail"] != cell.StartUnanswered.String() &&
-			l.token() == start.token() && strings.HasPrefix(l.Fields["task"], start.Fields["task"]+".") {
-			refused++
+	for order := range strings.SplitSeq(start.Fields["runs"], ",") {
+		index, rest, _ := strings.Cut(order, ":")
+		run, _, _ := strings.Cut(rest, "@")
+		if !isRefused(lines, start.token(), start.Fields["task"]+"."+index, run) {
+			return false
 		}
 	}
-	return refused >= 1+strings.Count(start.Fields["runs"], ",")
+	return true
+}
+
+// isRefused reports whether a worker has refused the start of a run of a task.
+func isRefused(lines []Line, token int64, task, run string) bool {
+	return slices.ContainsFunc(lines, func(l Line) bool {
+		return l.Fields["event"] == string(cell.EventStartRefused) && l.Fields["detail"] != cell.StartUnanswered.String() &&
+			l.token() == token && l.Fields["task"] == task && l.Fields["run"] == run
+	})
 }
--- a/internal/explain/cancel_test.go
+++ b/internal/explain/cancel_test.go
@@ -49,3 +49,22 @@
 ts=4 event=start_refused entry=e2 token=7 job=5c0e7a21d94b36f8 task=5c0e7a21d94b36f8.0.0.0 run=1 worker=w1 detail=fenced`)
 	assert.Equal(t, cause, "cancelled by its caller")
 }
+
+// Guards against a start of a former holder after the answer that the cause does not name, although no worker refused it.
+func TestStartOfFormerHolderAfterCancellingIsNamed(t *testing.T) {
+	cause := causeOf(t, `ts=1 event=job_taken entry=e2 token=7 job=5c0e7a21d94b36f8
+ts=2 event=cancel_answered entry=e1 job=5c0e7a21d94b36f8 answer=ok holder=e3 token=9
+ts=2 event=job_cancelled entry=e3 token=9 job=5c0e7a21d94b36f8
+ts=9 event=starts_ordered entry=e2 token=7 job=5c0e7a21d94b36f8 task=5c0e7a21d94b36f8.0.0 runs=0:1@w1`)
+	assert.Assert(t, strings.Contains(cause, "although cancelled"), cause)
+}
+
+// Guards against a start that is not named because other runs of its step were refused later.
+func TestStartAfterCancellingBesideRefusedOnesIsNamed(t *testing.T) {
+	cause := causeOf(t, `ts=1 event=job_taken entry=e2 token=7 job=5c0e7a21d94b36f8
+ts=2 event=cancel_answered entry=e1 job=5c0e7a21d94b36f8 answer=ok holder=e2 token=7
+ts=3 event=starts_ordered entry=e3 token=9 job=5c0e7a21d94b36f8 task=5c0e7a21d94b36f8.0.0 runs=0:1@w1
+ts=4 event=starts_ordered entry=e3 token=9 job=5c0e7a21d94b36f8 task=5c0e7a21d94b36f8.0.0 runs=1:1@w2
+ts=5 event=start_refused entry=e3 token=9 job=5c0e7a21d94b36f8 task=5c0e7a21d94b36f8.0.0.0 run=1 worker=w1 detail=fenced`)
+	assert.Assert(t, strings.Contains(cause, "although cancelled"), cause)
+}
