Log how each worker was accounted for after a takeover, and listings that are dropped

The logs had only a count at cell_settled, so they could not tell whether a restored task was placed because a worker had listed its runs, because its lease had ended, or because its listing was dropped. No decision changes.

--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -88,6 +88,8 @@
 	EventRunLost            Event = "run_lost"
 	EventWorkerDraining     Event = "worker_draining"
 	EventWorkerLeaseExpired Event = "worker_lapsed"
+	EventWorkerReconciled   Event = "worker_reconciled"
+	EventListingDropped     Event = "listing_dropped"
 	EventCellResumed        Event = "cell_resumed"
 	EventCellSettled        Event = "cell_settled"
 	EventWorkerRestarted    Event = "worker_restarted"
@@ -124,6 +126,8 @@
 	{EventCrashSuspected, "a worker crashed soon after it started the task; until a run lasts, the task is started where no other task starts", "such crashes of the task in a row", "whether no other step had started a task there"},
 	{EventTaskGivenUp, "a task has crashed its workers; its job fails", "crashes under the task", "queue"},
 	{EventWorkerRestarted, "a worker has restarted; its tasks are placed again", "number of tasks", ""},
+	{EventWorkerReconciled, "after a takeover, a worker that an earlier holder used is accounted for, later than most or without a listing: none of the tasks of older jobs waits for it any more", "time since the records were read", "listed, lease_expired, replaced, or waited for the longest lease that an earlier holder can have given"},
+	{EventListingDropped, "a worker without accounting has sent a listing, which is not used; reported once until the registry names the worker", "", "runs and ends listed"},
 	{EventCellResumed, "after a takeover, tasks of older jobs are placed unless an unreachable worker may be running them", "time since the records were read", "unreachable workers whose tasks still wait"},
 	{EventCellSettled, "after a takeover, every worker has listed its tasks or can run none any more", "time since the records were read", "workers without a listing, for whose leases the holder waited"},
 }
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -1,6 +1,10 @@
 package cell
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // SetWorkers replaces the workers of the platform's registry. A worker that is no
 // longer registered keeps its accounting until LeaseExpired reports that it runs
@@ -13,6 +17,7 @@
 		if w == nil {
 			w = &worker{idHash: xxhash.Sum64String(info.ID), attempts: map[runKey]*attempt{}, life: newLife(0)}
 			s.workers[info.ID] = w
+			delete(s.dropped, info.ID)
 			s.newWorkerAt = s.now + 1
 			if s.unreconciled[info.ID] == nil {
 				w.rosterSeq = unwritten
@@ -46,8 +51,11 @@
 
 // LeaseExpired reports that a worker's lease has expired, so that nothing started
 // before can still run there. Its tasks are placed again.
-func (s *Scheduler) LeaseExpired(workerID string) {
-	s.markReconciled(workerID)
+func (s *Scheduler) LeaseExpired(workerID string) { s.runsGone(workerID, reconciledLeaseExpired) }
+
+// runsGone has the tasks of a worker placed again that can run nothing any more.
+func (s *Scheduler) runsGone(workerID, how string) {
+	s.markReconciled(workerID, how)
 	w := s.workers[workerID]
 	if w == nil {
 		return
@@ -70,7 +78,7 @@
 	if w := s.workers[workerID]; w != nil {
 		s.recordLostRuns(w, renewalSentAt)
 	}
-	s.LeaseExpired(workerID)
+	s.runsGone(workerID, reconciledReplaced)
 	s.confirmCrash(workerID)
 }
 
@@ -92,10 +100,11 @@
 // Listed processes a worker's report of its running and ended tasks.
 func (s *Scheduler) Listed(l Listing) {
 	if !l.EndsOmitted {
-		s.markReconciled(l.Worker)
+		s.markReconciled(l.Worker, reconciledListed)
 	}
 	w := s.workers[l.Worker]
 	if w == nil {
+		s.reportDropped(l)
 		return
 	}
 	if w.fenced && w.incarnation != l.Incarnation {
@@ -127,6 +136,16 @@
 	}
 }
 
+// reportDropped reports a listing of a worker without accounting, once until the registry
+// names the worker.
+func (s *Scheduler) reportDropped(l Listing) {
+	if s.dropped[l.Worker] {
+		return
+	}
+	s.dropped[l.Worker] = true
+	s.emit(LogEvent{Event: EventListingDropped, Failed: true, Worker: l.Worker, Detail: fmt.Sprintf("%d/%d", len(l.Running), len(l.Ended))})
+}
+
 // beginLife replaces what is known about the worker's former incarnation, or about the
 // one before its lease expired.
 func (s *Scheduler) beginLife(w *worker, incarnation int64) {
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -152,14 +152,29 @@
 	}
 }
 
+// How a worker of earlier holders was accounted for.
+const (
+	reconciledListed       = "listed"
+	reconciledLeaseExpired = "lease_expired"
+	reconciledReplaced     = "replaced"
+	reconciledWaited       = "waited" // until Config.RestoreUntil
+)
+
+// lateReconciliationMS is the time after the restore, in ms, from which on each worker that
+// sends its first listing is logged. Nearly all do so within some 100 ms.
+const lateReconciliationMS = 1000
+
 // markReconciled records that a worker of earlier holders has no runs left that this
 // holder does not know.
-func (s *Scheduler) markReconciled(workerID string) {
+func (s *Scheduler) markReconciled(workerID, how string) {
 	u := s.unreconciled[workerID]
 	if u == nil {
 		return
 	}
 	delete(s.unreconciled, workerID)
+	if age := int64(s.now - s.restoredAt); how != reconciledListed || age > lateReconciliationMS {
+		s.emit(LogEvent{Event: EventWorkerReconciled, Worker: workerID, Detail: how, AgeMS: age})
+	}
 	w := s.workers[workerID]
 	s.rosterDirty = s.rosterDirty || w == nil || u.closed
 	if !u.closed {
@@ -188,7 +203,7 @@
 		for id := range s.unreconciled {
 			if !s.awaitsEnds(id) {
 				silent++
-				s.markReconciled(id)
+				s.markReconciled(id, reconciledWaited)
 			}
 		}
 	}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -255,10 +255,11 @@
 	// unreconciled holds the workers in the roster of earlier holders that have not sent
 	// a listing, by ID.
 	unreconciled     map[string]*unreconciledWorker
-	openUnreconciled int     // number of them that are not closed
-	reconciling      bool    // the reconciliation with these workers has not ended
-	resumed          bool    // tasks of restored jobs may be placed
-	restoredAt       Instant // when the records were restored
+	openUnreconciled int             // number of them that are not closed
+	reconciling      bool            // the reconciliation with these workers has not ended
+	resumed          bool            // tasks of restored jobs may be placed
+	restoredAt       Instant         // when the records were restored
+	dropped          map[string]bool // workers whose dropped listing has been reported
 	callers          callers
 	allowedShares    allowedShares
 	nextCheck        Instant // when runs are checked next
@@ -284,6 +285,7 @@
 		unstored:      map[*worker]bool{},
 		unreconciled:  map[string]*unreconciledWorker{},
 		lost:          map[string]*lostRuns{},
+		dropped:       map[string]bool{},
 		callers:       callers{},
 		allowedShares: allowedShares{},
 		queuedCalls:   map[bool]int{},
