--- a/internal/cell/roster_test.go
+++ b/internal/cell/roster_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -221,3 +222,27 @@
 	assert.Equal(t, len(r.Workers), 5)
 	assert.Assert(t, len(encode(r)) < 256<<10)
 }
+
+// Guards against tasks that run twice because a worker answers a new holder after its entry in the registry has lapsed.
+func TestListingOfUnregisteredWorkerIsUsed(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	for n := range 2 {
+		r.submit(oneStep(jobID(n), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	}
+	first := r.starts[0]
+	r.workers[first.Worker].unreachable = true // not noticed by the first holder
+	r.takeOver(2)
+	registered := slices.Clone(r.infos)
+	r.infos = slices.DeleteFunc(r.infos, func(i WorkerInfo) bool { return i.ID == first.Worker })
+	r.s.SetWorkers(r.infos)
+	r.endLast(EndDone) // makes room on the other worker
+	r.workers[first.Worker].unreachable = false
+	r.sendListing(first.Worker)
+	r.runActions()
+	r.infos = registered
+	r.s.SetWorkers(r.infos)
+	r.endRun(first.Worker, first.Task, first.Run, EndDone)
+	r.advance(100)
+	assert.Equal(t, r.startedTasks()[first.Task.String()], 1)
+	assert.Equal(t, r.state(first.Task.Job), Completed)
+}
