Keep the accounting of a silent worker that loses its entry after a takeover

What callers saw: tasks ran twice after a takeover, many at once.

Cause: a worker that an earlier holder used may be running its tasks until it has sent a listing or its lease has ended. SetWorkers deleted such a worker when its entry lapsed, because it had no attempts and had not been listed yet. Its session went on. The next listing took it off the workers that are waited for, found no accounting, and was dropped. Restored tasks were then placed although their runs went on or had ended unread there.

Change: a worker keeps its accounting while it is waited for, whether or not it is registered, so its listing is used. A listing without accounting is no proof of anything and changes nothing.

Ruled out as causes of this failure: the roster and stored progress, which the failing runs had read in full; orders of the former holder, which was killed.

--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -7,8 +7,9 @@
 )
 
 // SetWorkers replaces the workers of the platform's registry. A worker that is no
-// longer registered keeps its accounting until LeaseExpired reports that it runs
-// nothing any more.
+// longer registered keeps its accounting while it may run something: until LeaseExpired
+// reports that it does not, or, if it has not sent a listing to this holder, until
+// Config.RestoreUntil.
 func (s *Scheduler) SetWorkers(infos []WorkerInfo) {
 	registered := make(map[string]bool, len(infos))
 	for _, info := range infos {
@@ -43,9 +44,15 @@
 			continue
 		}
 		s.updateClosed(w)
-		if !w.fenced && len(w.attempts) == 0 {
-			s.removeWorker(w)
-		}
+		s.removeIfGone(w)
+	}
+}
+
+// removeIfGone deletes a worker that has left and can run nothing any more. A worker in
+// Scheduler.unreconciled may run tasks of an earlier holder.
+func (s *Scheduler) removeIfGone(w *worker) {
+	if !w.registered && !w.fenced && len(w.attempts) == 0 && s.unreconciled[w.ID] == nil {
+		s.removeWorker(w)
 	}
 }
 
@@ -66,9 +73,7 @@
 	s.closeAttempts(w)
 	w.fenced = false
 	clear(w.unknownRuns)
-	if !w.registered {
-		s.removeWorker(w)
-	}
+	s.removeIfGone(w)
 }
 
 // WorkerReplaced reports that a worker has ended and that another one answers at its
@@ -99,14 +104,14 @@
 
 // Listed processes a worker's report of its running and ended tasks.
 func (s *Scheduler) Listed(l Listing) {
-	if !l.EndsOmitted {
-		s.markReconciled(l.Worker, reconciledListed)
-	}
 	w := s.workers[l.Worker]
 	if w == nil {
 		s.reportDropped(l)
 		return
 	}
+	if !l.EndsOmitted {
+		s.markReconciled(l.Worker, reconciledListed)
+	}
 	if w.fenced && w.incarnation != l.Incarnation {
 		s.emit(LogEvent{Event: EventWorkerRestarted, Failed: true, Worker: w.ID, AgeMS: int64(len(w.attempts))})
 		s.recordLostRuns(w, l.RequestedAt)
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -204,6 +204,9 @@
 			if !s.awaitsEnds(id) {
 				silent++
 				s.markReconciled(id, reconciledWaited)
+				if w := s.workers[id]; w != nil {
+					s.removeIfGone(w)
+				}
 			}
 		}
 	}
