Do not take a worker down for maintenance before it has been listed

Cause: Drain reported a worker as empty if the scheduler did not know it, or had no attempts there because it had not sent a listing since the takeover. The holder then ordered the maintenance of its VM, which ends all runs of the earlier holder at once, without a checkpoint or the limits of services.

Change: a worker that is waited for after a takeover is not empty.

TestDrainWaitsForFirstListing failed before.

--- a/internal/cell/drain.go
+++ b/internal/cell/drain.go
@@ -1,12 +1,13 @@
 package cell
 
-// Drain stops placing tasks on a worker and reports whether nothing runs on it. With
-// force, it also stops the worker's runs as far as the MaxUnavailable limits of
+// Drain stops placing tasks on a worker and reports whether nothing runs on it. A worker
+// that may run tasks of an earlier holder is not empty before it has been reconciled. With
+// force, Drain also stops the worker's runs as far as the MaxUnavailable limits of
 // services allow; a stopped run saves a checkpoint.
 func (s *Scheduler) Drain(workerID string, force bool) (empty bool) {
-	w := s.workers[workerID]
+	w, known := s.workers[workerID], s.unreconciled[workerID] == nil
 	if w == nil {
-		return true
+		return known
 	}
 	w.cordoned = true
 	s.updateClosed(w)
@@ -17,7 +18,7 @@
 			}
 		}
 	}
-	return len(w.attempts) == 0 && len(w.unknownRuns) == 0
+	return known && len(w.attempts) == 0 && len(w.unknownRuns) == 0
 }
 
 // Undrain allows placing tasks on the worker again.
--- a/internal/cell/drain_test.go
+++ b/internal/cell/drain_test.go
@@ -114,3 +114,23 @@
 	r.takeOver(2)
 	assert.Assert(t, r.s.Settled())
 }
+
+// Guards against maintenance that ends the runs of an earlier holder on a worker that has not been listed yet.
+func TestDrainWaitsForFirstListing(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	r.workers["w00"].unreachable = true
+	registered := r.infos
+	r.infos = nil
+	r.takeOver(2)
+	assert.Equal(t, r.s.Drain("w00", true), false, "the registry does not name the worker")
+	r.infos = registered
+	r.s.SetWorkers(r.infos)
+	assert.Equal(t, r.s.Drain("w00", true), false, "the worker is silent")
+	r.workers["w00"].unreachable = false
+	r.advance(10)
+	assert.Equal(t, r.s.Drain("w00", true), false, "the run is being stopped")
+	r.runActions()
+	r.advance(10)
+	assert.Equal(t, r.s.Drain("w00", true), true)
+}
