Give no tasks to a worker that the stored roster lists as closed

Cause: a worker that the roster of earlier holders lists as closed counted as contained in that roster as open. If its first listing lacked ends, it was not reconciled but usable, and got tasks that the stored roster does not name. The holder after this one would not have waited for them.

Change: such a worker is usable once a roster that lists it as open is stored, which is written when its listing is complete.

TestClosedWorkerWithCutListWaitsForRoster failed before: one of three tasks was started there.

--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -20,9 +20,12 @@
 			s.workers[info.ID] = w
 			delete(s.dropped, info.ID)
 			s.newWorkerAt = s.now + 1
-			if s.unreconciled[info.ID] == nil {
+			switch u := s.unreconciled[info.ID]; {
+			case u == nil:
 				w.rosterSeq = unwritten
 				s.rosterDirty = true
+			case u.closed:
+				w.rosterSeq = unwritten // and listed as closed until it is reconciled
 			}
 		}
 		if info.Draining && !w.Draining {
--- a/internal/cell/roster_test.go
+++ b/internal/cell/roster_test.go
@@ -246,3 +246,22 @@
 	assert.Equal(t, r.startedTasks()[first.Task.String()], 1)
 	assert.Equal(t, r.state(first.Task.Job), Completed)
 }
+
+// Guards against tasks on a worker that the stored roster lists as closed, for which the next holder would not wait.
+func TestClosedWorkerWithCutListWaitsForRoster(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(0), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	closed := r.starts[0].Worker
+	r.silence(closed)
+	r.workers[closed].unreachable = false
+	r.endRun(closed, r.starts[0].Task, r.starts[0].Run, EndDone)
+	r.workers[closed].omitted = 1
+	r.takeOver(2)
+	for n := range 3 {
+		r.submit(oneStep(jobID(n+1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	}
+	assert.Equal(t, len(r.starts), 2)
+	for _, s := range r.starts[1:] {
+		assert.Assert(t, s.Worker != closed, "the next holder would not wait for %s", s.Task)
+	}
+}
