End the session with a worker that the scheduler has removed

Cause: a session ended only with the term or when another worker answered at its address. The sessions with workers that had left went on dialing them for the rest of the term, some five calls a second each. A session that outlives the accounting of its worker is also what brought the listings without accounting.

Change: the holder ends the sessions with workers that the scheduler does not know any more when it reads the registry. If the entry is back, a new session begins.

TestSessionEndsWithTheWorker failed before.

--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -59,6 +59,10 @@
 	}
 }
 
+// HasWorker reports whether there is accounting for the worker: it is registered or may
+// run something.
+func (s *Scheduler) HasWorker(workerID string) bool { return s.workers[workerID] != nil }
+
 // LeaseExpired reports that a worker's lease has expired, so that nothing started
 // before can still run there. Its tasks are placed again.
 func (s *Scheduler) LeaseExpired(workerID string) { s.runsGone(workerID, reconciledLeaseExpired) }
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -193,6 +193,7 @@
 type fakeFleet struct {
 	mu         sync.Mutex
 	infos      []cell.WorkerInfo
+	changed    chan struct{} // closed and replaced when infos changes
 	workers    map[string]*fakeWorker
 	starts     []string // IDs of started tasks
 	hangStarts bool     // starts are neither carried out nor answered
@@ -240,7 +241,7 @@
 }
 
 func newFakeFleet(n int) *fakeFleet {
-	f := &fakeFleet{workers: map[string]*fakeWorker{}}
+	f := &fakeFleet{workers: map[string]*fakeWorker{}, changed: make(chan struct{})}
 	for i := range n {
 		id := fmt.Sprintf("w%d", i)
 		f.infos = append(f.infos, cell.WorkerInfo{ID: id, Service: "svc", Address: id, Rack: "r0", Capacity: cell.Resources{CPUMilli: 8000, MemoryMB: 8000}})
@@ -250,8 +251,32 @@
 }
 
 func (f *fakeFleet) WatchWorkers(ctx context.Context, update func([]cell.WorkerInfo)) {
-	update(f.infos)
-	<-ctx.Done()
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		infos, changed := f.infos, f.changed
+		f.mu.Unlock()
+		update(infos)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// setRegistered replaces the workers in the registry.
+func (f *fakeFleet) setRegistered(infos ...cell.WorkerInfo) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.infos = infos
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// renewed returns the number of calls to renew a lease so far.
+func (f *fakeFleet) renewed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.renewals
 }
 
 // fakeClockMS returns the clock of all workers.
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -407,7 +407,8 @@
 }
 
 // setWorkers passes those workers of the registry that belong to the cell to the
-// scheduler, and opens sessions for them.
+// scheduler, opens sessions for them, and ends the sessions with workers that have left
+// and can run nothing any more.
 func (h *holder) setWorkers(infos []cell.WorkerInfo) {
 	h.post(func(s *cell.Scheduler) {
 		inCell := infos[:0:0]
@@ -420,6 +421,12 @@
 		for _, info := range inCell {
 			h.openSession(info)
 		}
+		for id, session := range h.sessions {
+			if !s.HasWorker(id) {
+				session.cancel()
+				delete(h.sessions, id)
+			}
+		}
 	})
 }
 
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -136,3 +136,23 @@
 	s.tryStart(cell.Start{Worker: "w0"})
 	assert.Equal(t, fleet.started(), 0)
 }
+
+// Guards against calls for ever to workers that have left, which pile up as VMs are replaced.
+func TestSessionEndsWithTheWorker(t *testing.T) {
+	fleet := newFakeFleet(1)
+	fleet.setSilent("w0", true)
+	node := startNode(t, "a", newFakeLog(), fleet)
+	eventually(t, "a renewal", func() bool { return fleet.renewed() > 0 })
+	registered := fleet.infos
+	fleet.setRegistered()
+	h, _, _ := node.agents()[0].route()
+	sessions := func() int {
+		count := make(chan int, 1)
+		h.post(func(*cell.Scheduler) { count <- len(h.sessions) })
+		return <-count
+	}
+	eventually(t, "the end of the session", func() bool { return sessions() == 0 })
+	fleet.setSilent("w0", false)
+	fleet.setRegistered(registered...)
+	eventually(t, "a new session", func() bool { return sessions() == 1 })
+}
