Give a restarted worker no tasks before its own entry has been read

Cause: a new incarnation of a worker may be of another kind. Until its entry was read, tasks were placed by the capacity and the labels of the former one, so a worker that does not guard its capacity could get more than it has.

Change: a worker takes tasks only while the entry that was read is about its present incarnation or a later one. While the registry cannot be read, a restarted worker stands idle, as its runs could not be known to fit.

TestRestartedWorkerWaitsForItsEntry failed before.

--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -165,3 +165,19 @@
 	}
 	assert.DeepEqual(t, r.startedTasks(), map[string]int{jobID(1) + ".0.0.0": 2, jobID(2) + ".0.0.0": 1})
 }
+
+// Guards against more tasks than a restarted worker of a smaller kind has room for.
+func TestRestartedWorkerWaitsForItsEntry(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.infos[0].Incarnation = 1
+	r.s.SetWorkers(r.infos)
+	r.restart("w00")
+	r.advance(10)
+	r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 500}, EstimateMS: 1000}))
+	r.advance(2 * searchIntervalMS)
+	assert.Equal(t, len(r.starts), 0, "the entry is about the former life")
+	r.infos[0].Incarnation, r.infos[0].Capacity.CPUMilli = 2, 500
+	r.s.SetWorkers(r.infos)
+	r.advance(2 * searchIntervalMS)
+	assert.Equal(t, len(r.starts), 1)
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -196,7 +196,13 @@
 
 // takesWork reports whether new tasks may be placed on the worker.
 func (w *worker) takesWork(now Instant) bool {
-	return w.fenced && !w.isClosed() && len(w.unknownRuns) == 0 && now >= w.avoidUntil
+	return w.fenced && !w.isClosed() && w.isDescribed() && len(w.unknownRuns) == 0 && now >= w.avoidUntil
+}
+
+// isDescribed reports whether the registry's entry is about the present incarnation of the
+// worker. That of a former one may name a capacity and labels that it does not have.
+func (w *worker) isDescribed() bool {
+	return w.Incarnation == 0 || w.Incarnation >= w.incarnation
 }
 
 func (w *worker) hasLabel(label string) bool {
