Explain tasks that two holders have started

It now names both runs, with worker, holder, token and time, the takeover, what the later holder had logged of the first run's worker before, and the line that shows that the first run had not been lost. Without such a line, which is the usual case after a takeover, the finding follows the main cause instead of preceding it.

Lines of one time now stay in the order of their log, because a holder reports a worker and places its tasks within 1 ms.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -30,8 +30,8 @@
 
 // Report is the history of a job.
 type Report struct {
-	// Lines are the lines about the job and the context events between the first and
-	// the last of them, in order of time.
+	// Lines are the lines about the job, and those of context events and of its workers
+	// between the first and the last of them, in order of time.
 	Lines []Line
 	Cause string // main cause of the job's outcome, as text
 }
@@ -39,25 +39,22 @@
 // Read reports on the job with the given ID from the logs of several processes. It
 // returns an error if a log cannot be read or has a line of more than 1 MiB.
 func Read(job string, logs ...io.Reader) (Report, error) {
-	var jobLines, contextLines []Line
+	var lines []Line
 	for _, log := range logs {
 		scanner := bufio.NewScanner(log)
 		scanner.Buffer(nil, maxLineBytes)
 		for scanner.Scan() {
 			line, ok := parse(scanner.Text())
-			switch {
-			case !ok:
-			case line.isAbout(job):
-				jobLines = append(jobLines, line)
-			case contextEvents[line.Fields["event"]]:
-				contextLines = append(contextLines, line)
+			event := line.Fields["event"]
+			if ok && (line.isAbout(job) || contextEvents[event] || workerEvents[event]) {
+				lines = append(lines, line)
 			}
 		}
 		if err := scanner.Err(); err != nil {
 			return Report{}, err
 		}
 	}
-	return report(jobLines, contextLines), nil
+	return report(job, lines), nil
 }
 
 // contextEvents are events that concern all jobs of a cell or process. Those in the
@@ -68,21 +65,38 @@
 	"records_read": true, "record_skipped": true, "lane_changed": true, "log_lines_dropped": true,
 }
 
-// report merges the lines in order of time and determines the cause.
-func report(jobLines, contextLines []Line) Report {
-	if len(jobLines) == 0 {
+// report puts the lines in order of time, leaves out those that the job does not depend on, and
+// determines the cause. Lines of one log with the same time stay in order.
+func report(job string, lines []Line) Report {
+	slices.SortStableFunc(lines, func(a, b Line) int { return strings.Compare(a.Time, b.Time) })
+	var first, last string
+	workers := map[string]bool{}
+	for i := range lines {
+		if !lines[i].isAbout(job) {
+			continue
+		}
+		if last = lines[i].Time; first == "" {
+			first = last
+		}
+		for _, r := range orderedRuns(lines[i : i+1]) {
+			workers[r.worker] = true
+		}
+	}
+	if first == "" {
 		return Report{Cause: "no log line mentions the job: no process received it, or its lines were dropped"}
 	}
-	byTime := func(a, b Line) int { return strings.Compare(a.Time, b.Time) }
-	slices.SortStableFunc(jobLines, byTime)
-	first, last := jobLines[0].Time, jobLines[len(jobLines)-1].Time
-	for _, line := range contextLines {
-		if line.Time >= first && line.Time <= last {
-			jobLines = append(jobLines, line)
-		}
+	lines = slices.DeleteFunc(lines, func(l Line) bool {
+		isContext := l.Time >= first && l.Time <= last && (contextEvents[l.Fields["event"]] || workers[l.Fields["worker"]])
+		return !l.isAbout(job) && !isContext
+	})
+	text := cause(lines)
+	switch twice, certain := startedTwice(lines); {
+	case certain:
+		text = twice + "; " + text
+	case twice != "":
+		text += "; " + twice
 	}
-	slices.SortStableFunc(jobLines, byTime)
-	return Report{Lines: jobLines, Cause: cause(jobLines)}
+	return Report{Lines: lines, Cause: text}
 }
 
 // cause describes the main cause of the job's outcome: the first of a start after an answered
