Count a lease as expired only if the holder had no successor when it ended

What callers can see: tasks run twice, many at once, when the holder and some workers are cut from the log and from the other workers for over 5 s.

Cause: the holder counted the lease of a worker that it did not reach as expired by the deadline that it had sent itself, and placed the tasks of that worker again on workers that it still reached, up to 7 s after the cut. Its successor had listed the worker and renewed the lease meanwhile. In the same way, a new holder that was cut off took Config.RestoreUntil for the end of all leases.

Change: a lease has expired for the holder once its claim, or an append, has been confirmed after the lease ended. Until then a successor may have renewed it.

--- a/internal/cell/rig_test.go
+++ b/internal/cell/rig_test.go
@@ -55,6 +55,7 @@
 	for key, value := range r.log {
 		records = append(records, Record{key, value})
 	}
+	r.s.Confirm(r.now)
 	assert.Equal(r.t, len(r.s.Restore(records)), 0)
 	r.seq = 0
 	r.s.SetCallers([]string{"e1", "e2"})
@@ -166,6 +167,9 @@
 	r.now += Instant(ms)
 	r.unixMS += ms
 	r.s.Tick(r.now, r.unixMS)
+	if !r.logDown {
+		r.s.Confirm(r.now)
+	}
 	for _, info := range r.infos {
 		r.sendListing(info.ID)
 	}
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -193,13 +193,13 @@
 }
 
 // reconcile reports how far the reconciliation with the workers of earlier holders has
-// come, and ends it once Config.RestoreUntil has passed.
+// come, and ends it once all leases of earlier holders have expired.
 func (s *Scheduler) reconcile() {
 	if !s.reconciling {
 		return
 	}
 	age, silent := int64(s.now-s.restoredAt), 0
-	if s.now >= s.cfg.RestoreUntil {
+	if s.priorLeasesExpired() {
 		for id := range s.unreconciled {
 			if !s.awaitsEnds(id) {
 				silent++
@@ -226,11 +226,15 @@
 	return w != nil && w.fenced && w.endsOmitted
 }
 
+// priorLeasesExpired reports whether no lease of an earlier holder can be in force: it has
+// ended, and this holder still had no successor then that may have renewed it.
+func (s *Scheduler) priorLeasesExpired() bool { return min(s.now, s.confirmed) >= s.cfg.RestoreUntil }
+
 // Settled reports whether all tasks of restored jobs may be placed: every worker that
-// may be running one has sent a complete listing or can run nothing any more, or
-// Config.RestoreUntil has passed and all that answer have sent one.
+// may be running one has sent a complete listing or can run nothing any more, or the
+// leases of earlier holders have expired and all that answer have sent one.
 func (s *Scheduler) Settled() bool {
-	if s.now < s.cfg.RestoreUntil {
+	if !s.priorLeasesExpired() {
 		return len(s.unreconciled) == 0
 	}
 	for id := range s.unreconciled {
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -224,7 +224,7 @@
 	// that earlier holders used.
 	Term uint32
 	// RestoreUntil is the time until which tasks of restored jobs may still be running
-	// on workers that this holder has not reached.
+	// on workers that this holder has not reached, unless another holder has succeeded it.
 	RestoreUntil Instant
 	// RemoteDataFactor is how many times longer a task takes if it runs on a rack other
 	// than Step.DataRack, or if a OneRack step is spread over racks. Run time estimates
@@ -239,12 +239,14 @@
 // Scheduler makes the placement decisions of one cell. It is not safe for concurrent
 // use.
 type Scheduler struct {
-	cfg     Config
-	now     Instant
-	unixMS  int64
-	actions []Action
-	seq     uint64 // of the last Persist
-	stored  uint64 // highest sequence number in the log
+	cfg    Config
+	now    Instant
+	unixMS int64
+	// confirmed is the newest time at which this holder certainly had no successor.
+	confirmed Instant
+	actions   []Action
+	seq       uint64 // of the last Persist
+	stored    uint64 // highest sequence number in the log
 
 	jobs         map[string]*job
 	workers      map[string]*worker
@@ -308,6 +310,10 @@
 	s.unixMS = unixMS
 }
 
+// Confirm records that this holder had no successor yet at the given time. A successor may
+// renew leases that this holder believes to have expired.
+func (s *Scheduler) Confirm(at Instant) { s.confirmed = max(s.confirmed, at) }
+
 // Actions makes all decisions that are due and returns the actions to carry out, in
 // order.
 func (s *Scheduler) Actions() []Action {
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -233,6 +233,7 @@
 // begin.
 func (h *holder) pass(next *time.Timer) {
 	start := time.Now()
+	h.confirmScheduler()
 	h.perform(h.sched.Actions())
 	h.passes++
 	delay := time.Duration(float64(time.Since(start)) * passDelayFactor)
@@ -243,6 +244,11 @@
 // tick sets the scheduler's time.
 func (h *holder) tick() { h.sched.Tick(h.now(), time.Now().UnixMilli()) }
 
+// confirmScheduler tells the scheduler when the holder was last confirmed.
+func (h *holder) confirmScheduler() {
+	h.sched.Confirm(h.now() - cell.Instant(h.sinceConfirmed().Milliseconds()) - 1)
+}
+
 // handleQueuedEvents handles queued events without waiting, up to maxEventBatch of them. The
 // scheduler's time is set for each event: it compares when a start was confirmed with when
 // listings were requested, and an earlier time would let it miss a run that has just started.
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -244,7 +244,7 @@
 		s.holder.logger.Warn("worker_lost", zap.String("worker", s.target.ID), zap.Error(err))
 		s.holder.post(func(sched *cell.Scheduler) { sched.WorkerUnreachable(s.target.ID, sentAt) })
 	}
-	if at, known := s.leaseEnd(); known && time.Now().After(at) {
+	if at, known := s.leaseEnd(); known && s.holder.confirmedSince(at) {
 		s.leaseExpired()
 	}
 	return true
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -36,6 +36,10 @@
 	return clock.SinceBoot() - h.confirmedAt
 }
 
+// confirmedSince reports whether the holder has been confirmed at or after the given time, so
+// that it had no successor by then. It is false if the VM was suspended in between.
+func (h *holder) confirmedSince(at time.Time) bool { return h.sinceConfirmed() < time.Since(at) }
+
 // hasAuthority reports whether the holder may still renew leases. It may not once a
 // release has begun, so the next holder need not wait for authorityPeriod.
 func (h *holder) hasAuthority() bool {
