Wait for all prior leases if the roster cannot be read

Cause: a roster record that could not be decoded was skipped, and counted as a roster without workers, so restored tasks were placed at once, although any worker may have been running them.

Change: restored tasks then wait until the leases of earlier holders have expired. Jobs that are submitted after the takeover do not wait.

TestUnreadableRosterDelaysRestoredTasks failed before.

--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -13,7 +13,9 @@
 	for _, r := range records {
 		switch {
 		case r.Key == rosterKey:
-			skipped = appendError(skipped, s.restoreRoster(r))
+			err := s.restoreRoster(r)
+			s.rosterLost = err != nil
+			skipped = appendError(skipped, err)
 		case isProgress(r.Key):
 			progress = append(progress, r)
 		default:
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -137,7 +137,7 @@
 // is called when all records have been restored.
 func (s *Scheduler) holdTasks() {
 	s.restoredAt = s.now
-	s.reconciling = len(s.unreconciled) > 0
+	s.reconciling = len(s.unreconciled) > 0 || s.rosterLost
 	for workerID, u := range s.unreconciled {
 		for _, id := range u.tasks {
 			if t := s.task(id); t != nil {
@@ -200,6 +200,7 @@
 	}
 	age, silent := int64(s.now-s.restoredAt), 0
 	if s.priorLeasesExpired() {
+		s.rosterLost = false
 		for id := range s.unreconciled {
 			if !s.awaitsEnds(id) {
 				silent++
@@ -214,7 +215,7 @@
 		s.resumed = true
 		s.emit(LogEvent{Event: EventCellResumed, AgeMS: age, Detail: strconv.Itoa(len(s.unreconciled))})
 	}
-	if len(s.unreconciled) == 0 {
+	if len(s.unreconciled) == 0 && !s.rosterLost {
 		s.reconciling = false
 		s.emit(LogEvent{Event: EventCellSettled, AgeMS: age, Detail: strconv.Itoa(silent)})
 	}
@@ -235,7 +236,7 @@
 // leases of earlier holders have expired and all that answer have sent one.
 func (s *Scheduler) Settled() bool {
 	if !s.priorLeasesExpired() {
-		return len(s.unreconciled) == 0
+		return len(s.unreconciled) == 0 && !s.rosterLost
 	}
 	for id := range s.unreconciled {
 		if s.awaitsEnds(id) {
@@ -247,7 +248,9 @@
 
 // mayPlaceRestored reports whether tasks of restored jobs may be placed unless they have
 // an attempt or are held.
-func (s *Scheduler) mayPlaceRestored() bool { return s.openUnreconciled == 0 || s.Settled() }
+func (s *Scheduler) mayPlaceRestored() bool {
+	return s.openUnreconciled == 0 && !s.rosterLost || s.Settled()
+}
 
 // isHeld reports whether a worker that has not sent a listing may be running a task of
 // the step.
--- a/internal/cell/roster_test.go
+++ b/internal/cell/roster_test.go
@@ -265,3 +265,23 @@
 		assert.Assert(t, s.Worker != closed, "the next holder would not wait for %s", s.Task)
 	}
 }
+
+// Guards against tasks that run twice because a roster that cannot be read counts as one without workers.
+func TestUnreadableRosterDelaysRestoredTasks(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 9000}))
+	assert.Equal(t, len(r.starts), 1)
+	r.log[rosterKey] = []byte{0xff}
+	var records []Record
+	for key, value := range r.log {
+		records = append(records, Record{key, value})
+	}
+	r.s = New(Config{Term: 1, RestoreUntil: r.now + 12000, RemoteDataFactor: 3, KeepEndedMS: 120000, StopTimeoutMS: 400})
+	r.s.Tick(r.now, r.unixMS)
+	assert.Equal(t, len(r.s.Restore(records)), 1)
+	r.seq = 0
+	r.s.SetWorkers(r.infos)
+	r.workers[r.starts[0].Worker].unreachable = true // its run goes on
+	r.advance(200)
+	assert.Equal(t, len(r.starts), 1, "the task may still be running")
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -264,6 +264,7 @@
 	// a listing, by ID.
 	unreconciled     map[string]*unreconciledWorker
 	openUnreconciled int             // number of them that are not closed
+	rosterLost       bool            // the roster could not be read, so any worker may be in it
 	reconciling      bool            // the reconciliation with these workers has not ended
 	resumed          bool            // tasks of restored jobs may be placed
 	restoredAt       Instant         // when the records were restored
