Open a worker after the maintenance of its VM only once it answers

Cause: after the platform had accepted the maintenance of a VM, its worker was opened again at once. The worker had ended, which nobody had noticed yet, so tasks were started on it and waited for its lease.

Change: the worker is opened by its first listing that is requested after that. If the maintenance had been completed before, the worker answers.

TestWorkerTakenDownGetsNoTasks failed before; its clock now starts above 0, which is the value for no time.

--- a/internal/cell/drain.go
+++ b/internal/cell/drain.go
@@ -9,7 +9,7 @@
 	if w == nil {
 		return known
 	}
-	w.cordoned = true
+	w.cordoned, w.undrainedAt = true, 0
 	s.updateClosed(w)
 	if force {
 		for _, a := range w.attempts {
@@ -21,11 +21,19 @@
 	return known && len(w.attempts) == 0 && len(w.unknownRuns) == 0
 }
 
-// Undrain allows placing tasks on the worker again.
+// Undrain allows placing tasks on the worker again, once it has sent a listing that was
+// requested after the call. If the maintenance of its VM has begun, it has ended and sends none.
 func (s *Scheduler) Undrain(workerID string) {
-	if w := s.workers[workerID]; w != nil {
-		w.cordoned = false
-		s.updateClosed(w)
+	if w := s.workers[workerID]; w != nil && w.cordoned {
+		w.undrainedAt = s.now
+	}
+}
+
+// uncordon ends the exclusion of a worker after Undrain, at a listing that was requested at the
+// given time.
+func (s *Scheduler) uncordon(w *worker, requestedAt Instant) {
+	if w.undrainedAt > 0 && requestedAt > w.undrainedAt {
+		w.cordoned, w.undrainedAt = false, 0
 	}
 }
 
--- a/internal/cell/drain_test.go
+++ b/internal/cell/drain_test.go
@@ -134,3 +134,19 @@
 	r.advance(10)
 	assert.Equal(t, r.s.Drain("w00", true), true)
 }
+
+// Guards against tasks that are started on a worker whose VM has just been taken down for its maintenance, and wait for its lease.
+func TestWorkerTakenDownGetsNoTasks(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.advance(10)
+	assert.Assert(t, r.s.Drain("w00", false))
+	r.workers["w00"].unreachable = true // its VM is down, which no renewal has shown yet
+	r.s.Undrain("w00")
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	r.advance(100)
+	assert.Equal(t, len(r.starts), 0)
+	r.workers["w00"].unreachable, r.workers["w00"].incarnation = false, 1
+	r.advance(100)
+	r.advance(100)
+	assert.Equal(t, len(r.starts), 1, "the next life gets tasks")
+}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -130,6 +130,7 @@
 		w.fenced = true
 	}
 	w.unreachable = false
+	s.uncordon(w, l.RequestedAt)
 	s.resolveLostRuns(w.ID, l.Incarnation)
 	s.updateClosed(w)
 	silent := w.silentBefore(l.RequestedAt)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -143,6 +143,7 @@
 	health       health
 	speed        speed
 	cordoned     bool          // excluded from placement during maintenance of its VM
+	undrainedAt  Instant       // when Undrain was called, until the next listing; 0 if it was not
 	unreachable  bool          // has not answered since a renewal of its lease failed
 	listedClosed bool          // the newest roster lists the worker as closed
 	leavesAt     Instant       // when a draining worker may leave; 0 if unknown
