End the session with a gone worker when its lease has expired

Cause: if a worker had left the registry before its lease expired, the session went on until the registry changed again.

TestSessionOfGoneWorkerEnds failed before.

--- /dev/null
+++ b/internal/entry/gone_test.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/cell"
+)
+
+// startOnFirst starts a process with two workers and a job that runs on one of them, and returns that one's ID.
+func startOnFirst(t *testing.T, fleet *fakeFleet) (h *holder, runsOn string) {
+	t.Helper()
+	n := startNode(t, "a", newFakeLog(), fleet)
+	eventually(t, "a holder", n.holds)
+	job := testJob(1)
+	job.Steps[0].EstimateMS = 60_000
+	assert.NilError(t, n.Submit(within(3*time.Second), job))
+	eventually(t, "a start", func() bool { return fleet.started() == 1 })
+	h, _, _ = n.agents()[0].route()
+	for id, w := range fleet.workers {
+		if len(w.running) > 0 {
+			runsOn = id
+		}
+	}
+	return h, runsOn
+}
+
+// Guards against calls to workers that are gone for good, which go on until the term ends.
+func TestSessionOfGoneWorkerEnds(t *testing.T) {
+	fleet := newFakeFleet(2)
+	view := &cutFleet{fakeFleet: fleet}
+	n := startCutNode(t, "a", newFakeLog(), view)
+	eventually(t, "a holder", n.holds)
+	h, _, _ := n.agents()[0].route()
+	view.set(map[string]bool{"w0": true})
+	h.setWorkers(fleet.infos[1:])
+	eventually(t, "the end of the lease", func() bool {
+		removed := make(chan bool, 1)
+		h.post(func(s *cell.Scheduler) { removed <- s.Summary().Workers == 1 })
+		return <-removed
+	})
+	time.Sleep(2 * time.Second)
+	before := view.unheard.Load()
+	time.Sleep(3 * time.Second)
+	assert.Equal(t, view.unheard.Load(), before, "calls to a worker that is neither registered nor known")
+}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -255,7 +255,12 @@
 	s.mu.Lock()
 	s.life.deadlineMS = 0
 	s.mu.Unlock()
-	s.holder.post(func(sched *cell.Scheduler) { sched.LeaseExpired(s.target.ID) })
+	s.holder.post(func(sched *cell.Scheduler) {
+		sched.LeaseExpired(s.target.ID)
+		if !sched.HasWorker(s.target.ID) {
+			s.cancel() // the worker is not registered any more
+		}
+	})
 }
 
 func (s *session) isAnswering() bool {
