Keep what is known of a worker's lease when its address changes

Cause: a session for another address of the same worker knew no lease. If the new address never answered, the lease never counted as expired, and the tasks of the worker were not placed again until the term ended.

Change: the new session begins with what the former one knew of the worker's newest incarnation. Another incarnation replaces it at its first response.

TestLeaseOfMovedWorkerExpires failed before.

--- a/internal/entry/gone_test.go
+++ b/internal/entry/gone_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -46,3 +47,25 @@
 	time.Sleep(3 * time.Second)
 	assert.Equal(t, view.unheard.Load(), before, "calls to a worker that is neither registered nor known")
 }
+
+// Guards against tasks that wait for ever because the lease of a silent worker is forgotten when its entry names another address.
+func TestLeaseOfMovedWorkerExpires(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		fleet := newFakeFleet(2)
+		h, runsOn := startOnFirst(t, fleet)
+		fleet.setSilent(runsOn, true)
+		if moved {
+			infos := slices.Clone(fleet.infos)
+			for i := range infos {
+				if infos[i].ID == runsOn {
+					infos[i].Address = "moved"
+				}
+			}
+			h.setWorkers(infos)
+		}
+		for start := time.Now(); fleet.started() < 2 && time.Since(start) < 15*time.Second; {
+			time.Sleep(20 * time.Millisecond)
+		}
+		assert.Equal(t, fleet.started(), 2, "moved: %v", moved)
+	}
+}
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -444,13 +444,15 @@
 // openSession starts a session for a worker unless one exists for the same address.
 func (h *holder) openSession(info cell.WorkerInfo) {
 	target := Target{ID: info.ID, Address: info.Address}
-	if old := h.sessions[info.ID]; old != nil {
-		if old.target == target {
-			return
-		}
-		old.cancel()
+	old := h.sessions[info.ID]
+	if old != nil && old.target == target {
+		return
 	}
 	s := newSession(h, target)
+	if old != nil {
+		old.cancel()
+		s.life = old.lastLife() // its lease may be in force until the worker answers
+	}
 	h.sessions[info.ID] = s
 	h.spawn("the session with a worker", s.run)
 }
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -315,6 +315,13 @@
 	return s.life.deadline(startWindow), true
 }
 
+// lastLife returns what is known of the worker's newest incarnation.
+func (s *session) lastLife() workerLife {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.life
+}
+
 // leaseEnd returns the time by which the worker's lease has certainly expired.
 func (s *session) leaseEnd() (time.Time, bool) {
 	s.mu.Lock()
