--- a/spec/check.sh
+++ b/spec/check.sh
@@ -84,6 +84,7 @@
 fail roster -DREOPEN_UNSTORED
 fail roster -DFORGET_TASKS
 fail roster -DIGNORE_HELD
+fail roster -DDROP_LISTING
 fail roster -DHOLDERS=3 -DCHANGES=1 -DLISTED_IS_OPEN
 fail roster -DHOLDERS=3 -DCHANGES=1 -DDROP_INHERITED
 pass tasklease
--- a/spec/roster.pml
+++ b/spec/roster.pml
@@ -9,7 +9,8 @@
  * is not modelled: a worker may stay silent for ever, and its lease does not expire.
  *
  * Mutants (-D macros), each of which the checker must reject: PLACE_ON_CLOSED,
- * REOPEN_UNSTORED, LISTED_IS_OPEN, FORGET_TASKS, IGNORE_HELD, DROP_INHERITED.
+ * REOPEN_UNSTORED, LISTED_IS_OPEN, FORGET_TASKS, IGNORE_HELD, DROP_INHERITED,
+ * DROP_LISTING.
  */
 #ifndef WORKERS
 #define WORKERS 2
@@ -66,6 +67,9 @@
 #endif
 			if
 			:: running[w] -> at = w
+#ifdef DROP_LISTING             /* of a worker that has left the registry */
+			:: running[w]
+#endif
 			:: else
 			fi
 		:: listed[w] && closed[w] && changes < CHANGES ->
