Test conditions of listings, the roster, restores and drains that no cell test guarded

Negated conditions in listing.go, restore.go and drain.go that all tests of the package passed. Each new test fails on its mutant and holds on this code:

listing.go:34 a draining that ends TestWorkerGetsTasksAfterItsDraining listing.go:54 removal of workers TestRunsOfWorkerThatStaysUnregisteredAreKept, TestWorkerIsUsedAgainAfterItsLeaseHasExpired listing.go:83 replaced workers TestReplacedWorkerCountsAsCrash listing.go:169 starts on a new incarnation TestStartOnNewIncarnationOutlivesItsFirstListing listing.go:238 second runs of a task TestSecondListedRunIsAdoptedOnlyIfSpeculative listing.go:258 run numbers of a gang TestGangIsAdoptedWithOneRunNumber restore.go:98 tasks stored as done TestStoredDoneTaskDoesNotRunAgain restore.go:112 steps stored as complete TestRestoredJobEndsAfterItsLastStep drain.go:20 unknown runs TestDrainWaitsForUnknownRuns drain.go:115 silent workers TestSilentDrainingWorkerStaysInRoster drain.go:115 unknown runs TestDrainingWorkerWithUnknownRunStaysInRoster

--- /dev/null
+++ b/internal/cell/reconcile_test.go
@@ -0,0 +1,209 @@
+package cell
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against tasks that run twice because a worker that answers a new holder stays out of the registry beyond Config.RestoreUntil.
+func TestRunsOfWorkerThatStaysUnregisteredAreKept(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+	first := r.starts[0]
+	r.workers[first.Worker].unreachable = true // not noticed by the first holder
+	r.takeOver(2)
+	r.infos = slices.DeleteFunc(r.infos, func(i WorkerInfo) bool { return i.ID == first.Worker })
+	r.s.SetWorkers(r.infos)
+	r.workers[first.Worker].unreachable = false
+	for n := range 14 {
+		r.setPercent(func(int) int { return n })
+		r.sendListing(first.Worker)
+		r.advance(1000)
+	}
+	assert.Equal(t, len(r.starts), 1)
+}
+
+// Guards against a task that runs twice because the first listing of a restarted worker was requested before the start on it was confirmed.
+func TestStartOnNewIncarnationOutlivesItsFirstListing(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.advance(10)
+	requested := r.now
+	r.advance(10)
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+	first := r.starts[0]
+	r.s.Listed(Listing{Worker: first.Worker, Incarnation: 2, RequestedAt: requested})
+	r.runActions()
+	r.workers[first.Worker].incarnation = 1 // it carried out the start
+	for range 3 {
+		r.advance(searchIntervalMS)
+	}
+	assert.Equal(t, len(r.starts), 1)
+}
+
+// Guards against tasks that never run because a worker that has ended its draining stays out of the roster.
+func TestWorkerGetsTasksAfterItsDraining(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.infos[0].Draining = true
+	r.s.SetWorkers(r.infos)
+	r.advance(checkIntervalMS)
+	assert.Equal(t, r.s.workers["w00"].rosterSeq, uint64(notInRoster))
+	r.infos[0].Draining = false
+	r.s.SetWorkers(r.infos)
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	r.advance(searchIntervalMS)
+	assert.Equal(t, len(r.starts), 1)
+	r.takeOver(2)
+	r.workers["w00"].unreachable = true
+	r.takeOver(3)
+	assert.Assert(t, !r.s.Settled(), "the next holder must wait for the worker")
+}
+
+// Guards against a task that goes on twice because a new holder adopts a second run of it, and against a speculative copy that is stopped.
+func TestSecondListedRunIsAdoptedOnlyIfSpeculative(t *testing.T) {
+	for _, speculative := range []bool{false, true} {
+		r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000, Speculative: speculative}))
+		other := "w00"
+		if r.starts[0].Worker == other {
+			other = "w01"
+		}
+		r.workers[other].running = []RunningTask{{Task: r.starts[0].Task, Run: 2}}
+		r.takeOver(2)
+		wantStops := 1
+		if speculative {
+			wantStops = 0
+		}
+		assert.Equal(t, len(r.stops), wantStops, "speculative: %t", speculative)
+		assert.Equal(t, len(r.starts), 1)
+	}
+}
+
+// Guards against a gang that runs twice because a new holder does not adopt its members, and against one with members of two runs.
+func TestGangIsAdoptedWithOneRunNumber(t *testing.T) {
+	for _, former := range []bool{false, true} {
+		r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000, Gang: true}))
+		assert.Equal(t, len(r.starts), 2)
+		wantStops := 0
+		if former {
+			r.workers["w01"].running[0].Run++
+			wantStops = 1
+		}
+		r.takeOver(2)
+		assert.Equal(t, len(r.stops), wantStops, "another run number: %t", former)
+		assert.Equal(t, len(r.starts), 2)
+	}
+}
+
+// Guards against a done task that runs again because a new holder does not restore it from the stored progress.
+func TestStoredDoneTaskDoesNotRunAgain(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 500}, EstimateMS: 60_000}))
+	assert.Equal(t, len(r.starts), 2)
+	r.endLast(EndDone)
+	r.advance(10)
+	assert.Equal(t, len(r.workers["w00"].ended), 0, "the end is acknowledged")
+	r.takeOver(2)
+	r.advance(searchIntervalMS)
+	assert.Equal(t, len(r.starts), 2)
+	r.endRun("w00", r.starts[0].Task, r.starts[0].Run, EndDone)
+	r.advance(10)
+	assert.Equal(t, r.state(jobID(1)), Completed)
+}
+
+// Guards against a job that a new holder ends before its last step, or never, because it miscounts the steps that are left.
+func TestRestoredJobEndsAfterItsLastStep(t *testing.T) {
+	for _, done := range []int{1, 2} { // tasks of the first step that are stored as done
+		r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		step := Step{Tasks: 2, Resources: Resources{CPUMilli: 500}, EstimateMS: 60_000}
+		later := step
+		later.After = []int{0}
+		r.submit(Job{ID: jobID(1), Steps: []Step{step, later}})
+		end := func(from, to int) {
+			for _, start := range r.starts[from:to] {
+				r.endRun("w00", start.Task, start.Run, EndDone)
+			}
+			r.advance(searchIntervalMS)
+			r.advance(10)
+		}
+		end(0, done)
+		r.takeOver(2)
+		end(done, 2)
+		assert.Equal(t, r.state(jobID(1)), Running, "%d tasks were done", done)
+		assert.Equal(t, len(r.starts), 4)
+		end(2, 4)
+		assert.Equal(t, r.state(jobID(1)), Completed, "%d tasks were done", done)
+	}
+}
+
+// Guards against a task that runs twice because the roster lacks a draining worker whose unknown run has not ended.
+func TestDrainingWorkerWithUnknownRunStaysInRoster(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	id := TaskID{Job: jobID(1)}
+	r.workers["w00"].unreachable = true // the stop is lost
+	r.s.Listed(Listing{Worker: "w00", Incarnation: 1, RequestedAt: r.now, Running: []RunningTask{{Task: id, Run: 1}}})
+	r.infos[0].Draining = true
+	r.s.SetWorkers(r.infos)
+	r.advance(checkIntervalMS)
+	r.advance(closingDelayMS)
+	var stored roster
+	assert.NilError(t, decodeRecord(Record{rosterKey, r.log[rosterKey]}, &stored))
+	assert.Assert(t, slices.Contains(stored.Workers, "w00"))
+	assert.DeepEqual(t, stored.Closed[0].Tasks, []string{id.String()})
+}
+
+// Guards against tasks that never run because a registered worker is forgotten when its lease has expired.
+func TestWorkerIsUsedAgainAfterItsLeaseHasExpired(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.silence("w00")
+	r.s.LeaseExpired("w00")
+	r.workers["w00"].unreachable = false
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	r.advance(searchIntervalMS)
+	r.advance(searchIntervalMS)
+	assert.Equal(t, len(r.starts), 1)
+}
+
+// Guards against a crash that is not counted because another worker answers at the address, and against a panic if the worker is not known.
+func TestReplacedWorkerCountsAsCrash(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+	r.s.WorkerReplaced("unknown", r.now)
+	r.s.WorkerReplaced("w00", r.now)
+	assert.Equal(t, r.s.task(r.starts[0].Task).crashes.total, 1)
+}
+
+// Guards against a task that runs twice because the roster lacks a draining worker that was silent after a takeover and runs it.
+func TestSilentDrainingWorkerStaysInRoster(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+	first := r.starts[0]
+	r.workers[first.Worker].unreachable = true // not noticed by the first holder
+	for i := range r.infos {
+		r.infos[i].Draining = r.infos[i].ID == first.Worker
+	}
+	r.takeOver(2)
+	r.advance(checkIntervalMS)
+	r.workers[first.Worker].unreachable = false
+	r.advance(checkIntervalMS)
+	r.workers["new"] = &fakeWorker{}
+	r.infos = append(r.infos, WorkerInfo{ID: "new", Service: "svc", Capacity: Resources{CPUMilli: 100, MemoryMB: 1000}})
+	r.s.SetWorkers(r.infos) // has the roster written
+	r.advance(closingDelayMS)
+	r.workers[first.Worker].unreachable = true
+	r.takeOver(3)
+	r.advance(checkIntervalMS)
+	assert.Equal(t, len(r.starts), 1)
+}
+
+// Guards against maintenance of a VM on which a run that the holder does not know has not ended.
+func TestDrainWaitsForUnknownRuns(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.workers["w00"].unreachable = true // the stop is lost
+	r.s.Listed(Listing{Worker: "w00", Incarnation: 1, RequestedAt: r.now, Running: []RunningTask{{Task: TaskID{Job: jobID(1)}, Run: 1}}})
+	assert.Assert(t, !r.s.Drain("w00", true))
+	r.s.Listed(Listing{Worker: "w00", Incarnation: 1, RequestedAt: r.now})
+	assert.Assert(t, r.s.Drain("w00", true))
+}
