Use a worker only by the entry of its present incarnation

Cause: an entry with a later start than the listing counted as one of the present incarnation. After the clock of a machine had been set back, that is the entry of the former one.

--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -201,9 +201,9 @@
 }
 
 // isDescribed reports whether the registry's entry is about the present incarnation of the
-// worker. That of a former one may name a capacity and labels that it does not have.
+// worker. That of another one may name a capacity and labels that it does not have.
 func (w *worker) isDescribed() bool {
-	return w.Incarnation == 0 || w.Incarnation >= w.incarnation
+	return w.Incarnation == 0 || w.Incarnation == w.incarnation
 }
 
 func (w *worker) hasLabel(label string) bool {
