Keep an unreadable roster unreadable until all prior leases have expired

Cause: a new holder that could not read the roster wrote one of the workers that it knew. It lacked those that were not registered, and named silent ones as closed without tasks, so the next holder waited for nobody. A roster record without a version was skipped before the scheduler saw it, and counted as no roster. Maintenance could be ordered for workers that had not been listed.

Change: the roster says that it may lack workers until the leases of earlier holders have expired, and the next holder waits for them as well. Records without a version reach the scheduler, which reports them.

TestRosterAfterUnreadableOne, TestDrainAfterUnreadableRoster, TestWorkerThatEndsDrainingBeforeItsCompleteListing and TestRosterWithoutVersion failed before.

--- a/internal/cell/drain.go
+++ b/internal/cell/drain.go
@@ -5,7 +5,7 @@
 // force, Drain also stops the worker's runs as far as the MaxUnavailable limits of
 // services allow; a stopped run saves a checkpoint.
 func (s *Scheduler) Drain(workerID string, force bool) (empty bool) {
-	w, known := s.workers[workerID], s.unreconciled[workerID] == nil
+	w, known := s.workers[workerID], s.unreconciled[workerID] == nil && !s.rosterLost
 	if w == nil {
 		return known
 	}
@@ -21,6 +21,20 @@
 	return known && len(w.attempts) == 0 && len(w.unknownRuns) == 0
 }
 
+// ResendStops emits the stops of a worker again that may not have reached it, because the calls
+// to its former address have ended.
+func (s *Scheduler) ResendStops(workerID string) {
+	w := s.workers[workerID]
+	if w == nil {
+		return
+	}
+	for _, a := range w.attempts {
+		if a.phase == stopping {
+			s.emitStop(a, "address_changed")
+		}
+	}
+}
+
 // Undrain allows placing tasks on the worker again, once it has sent a listing that was
 // requested after the call. If the maintenance of its VM has begun, it has ended and sends none.
 func (s *Scheduler) Undrain(workerID string) {
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -78,6 +78,8 @@
 	// Closed holds those of Workers that get no tasks until a newer roster is stored
 	// without them here. Only the listed tasks may be running there.
 	Closed []closedWorker `cbor:"2,keyasint,omitempty"`
+	// Incomplete is set if workers may be missing, because an earlier roster could not be read.
+	Incomplete bool `cbor:"3,keyasint,omitempty"`
 
 	closedTasks int // number of tasks in Closed
 }
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -14,7 +14,7 @@
 		switch {
 		case r.Key == rosterKey:
 			err := s.restoreRoster(r)
-			s.rosterLost = err != nil
+			s.rosterLost = s.rosterLost || err != nil
 			skipped = appendError(skipped, err)
 		case isProgress(r.Key):
 			progress = append(progress, r)
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -61,7 +61,7 @@
 		return
 	}
 	s.rosterDirty, s.closingDue = false, 0
-	var r roster
+	r := roster{Incomplete: s.rosterLost}
 	for id, u := range s.unreconciled {
 		r.add(id, u.closed, u.tasks)
 	}
@@ -116,6 +116,7 @@
 	if err := decodeRecord(r, &old); err != nil {
 		return err
 	}
+	s.rosterLost = old.Incomplete
 	for _, id := range old.Workers {
 		s.unreconciled[id] = &unreconciledWorker{}
 	}
@@ -176,7 +177,7 @@
 		s.emit(LogEvent{Event: EventWorkerReconciled, Worker: workerID, Detail: how, AgeMS: age})
 	}
 	w := s.workers[workerID]
-	s.rosterDirty = s.rosterDirty || w == nil || u.closed
+	s.rosterDirty = s.rosterDirty || w == nil || u.closed || w.rosterSeq == unwritten
 	if !u.closed {
 		s.openUnreconciled--
 	} else if w != nil {
@@ -200,6 +201,7 @@
 	}
 	age, silent := int64(s.now-s.restoredAt), 0
 	if s.priorLeasesExpired() {
+		s.rosterDirty = s.rosterDirty || s.rosterLost
 		s.rosterLost = false
 		for id := range s.unreconciled {
 			if !s.awaitsEnds(id) {
--- a/internal/entry/lanes.go
+++ b/internal/entry/lanes.go
@@ -163,6 +163,10 @@
 		v, value, err := splitVersion(r)
 		if err != nil {
 			skipped = append(skipped, err)
+			// The scheduler cannot decode it either, but knows then that it exists.
+			if _, known := m.newest[r.Key]; !known {
+				m.newest[r.Key] = r
+			}
 			continue
 		}
 		if old, known := m.versions[r.Key]; !known || old.less(v) {
