Let sessions live exactly as long as the accounting of their workers

Causes, each with a test that failed before: - A session that ended itself stayed in the holder's map until a later event. If the worker's entry came back in between, it got no session (TestWorkerThatReturnsWhileItsSessionEnds). The session with a worker that never answered went on after the wait (TestSessionOfWorkerThatNeverAnsweredEnds). - A session that had been replaced could still send a deadline that its successor did not know (TestRenewalAfterLastLife), or report the end of a lease that the successor had renewed (TestLateExpiryOfFormerSession). - Stops to a former address ended with its session, and those to a worker that had been replaced never ended (TestStopOutlivesAddress, TestStopsToReplacedWorkerEnd). - Another worker that answered at a new address counted as proof that nothing ran at the former one (TestEntryWithAddressOfAnotherWorker).

Change: the scheduler reports a removed worker by an action, and the holder closes its session then. A session that was replaced sends and reports nothing; its successor sends open stops again and waits for the lease.

--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -55,6 +55,10 @@
 	Value []byte
 }
 
+// WorkerRemoved reports that the Scheduler keeps nothing about a worker any more, unless
+// Scheduler.HasWorker says that it has come back. Calls to the worker can end.
+type WorkerRemoved struct{ Worker string }
+
 // LogEvent is an event to log and to count in the metrics.
 type LogEvent struct {
 	Event  Event
@@ -141,6 +145,7 @@
 func (RequestPermits) isAction() {}
 func (Acknowledge) isAction()    {}
 func (Persist) isAction()        {}
+func (WorkerRemoved) isAction()  {}
 func (LogEvent) isAction()       {}
 
 // StartOutcome is a worker's response to a start order.
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -97,6 +97,7 @@
 // removeWorker deletes a worker that has left and runs nothing any more.
 func (s *Scheduler) removeWorker(w *worker) {
 	delete(s.workers, w.ID)
+	s.emit(WorkerRemoved{w.ID})
 	delete(s.unstored, w)
 	s.rosterDirty = true
 }
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -336,6 +336,10 @@
 			}
 		case cell.Persist:
 			h.writer.add(a)
+		case cell.WorkerRemoved:
+			if s := h.sessions[a.Worker]; s != nil && !h.sched.HasWorker(a.Worker) {
+				h.closeSession(s)
+			}
 		case cell.LogEvent:
 			h.logEvent(a, orders.takeStarts(a))
 		}
@@ -418,8 +422,7 @@
 }
 
 // setWorkers passes those workers of the registry that belong to the cell to the
-// scheduler, opens sessions for them, and ends the sessions with workers that have left
-// and can run nothing any more.
+// scheduler, and opens sessions for them.
 func (h *holder) setWorkers(infos []cell.WorkerInfo) {
 	h.post(func(s *cell.Scheduler) {
 		inCell := infos[:0:0]
@@ -432,12 +435,6 @@
 		for _, info := range inCell {
 			h.openSession(info)
 		}
-		for id, session := range h.sessions {
-			if !s.HasWorker(id) {
-				session.cancel()
-				delete(h.sessions, id)
-			}
-		}
 	})
 }
 
@@ -452,13 +449,15 @@
 	if old != nil {
 		old.cancel()
 		s.life = old.lastLife() // its lease may be in force until the worker answers
+		h.sched.ResendStops(info.ID)
 	}
 	h.sessions[info.ID] = s
 	h.spawn("the session with a worker", s.run)
 }
 
-// closeSession removes a session that has ended.
+// closeSession ends a session and removes it.
 func (h *holder) closeSession(s *session) {
+	s.cancel()
 	if h.sessions[s.target.ID] == s {
 		delete(h.sessions, s.target.ID)
 	}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -74,6 +74,7 @@
 	mu          sync.Mutex
 	life        workerLife
 	answering   bool // the last renewal was answered, so that life is the present one
+	answered    bool // a renewal was answered at the address of the target
 	unreachable bool // the last renewal was not answered
 }
 
@@ -134,7 +135,7 @@
 	if clock.SinceBoot()-s.life.heardAt < acknowledgeWindow {
 		renewal.Acknowledged = s.life.acknowledged
 	}
-	if s.holder.hasAuthority() {
+	if s.ctx.Err() == nil && s.holder.hasAuthority() {
 		renewal.DeadlineMS = s.life.deadline(s.leaseDuration())
 	}
 	return renewal
@@ -235,7 +236,7 @@
 	if s.ctx.Err() != nil {
 		return false
 	}
-	if errors.As(err, &c) && c.Failure == ControlReplaced {
+	if errors.As(err, &c) && c.Failure == ControlReplaced && !s.mayRunElsewhere() {
 		s.holder.logger.Info("worker_gone", zap.String("worker", s.target.ID))
 		s.holder.post(func(sched *cell.Scheduler) { sched.WorkerReplaced(s.target.ID, sentAt) })
 		return false
@@ -256,10 +257,10 @@
 	s.life.deadlineMS = 0
 	s.mu.Unlock()
 	s.holder.post(func(sched *cell.Scheduler) {
-		sched.LeaseExpired(s.target.ID)
-		if !sched.HasWorker(s.target.ID) {
-			s.cancel() // the worker is not registered any more
+		if s.holder.sessions[s.target.ID] != s {
+			return // the worker has another session, which knows its lease
 		}
+		sched.LeaseExpired(s.target.ID)
 	})
 }
 
@@ -287,7 +288,7 @@
 	if s.unreachable {
 		s.holder.logger.Info("worker_regained", zap.String("worker", s.target.ID))
 	}
-	s.answering, s.unreachable = true, false
+	s.answering, s.answered, s.unreachable = true, true, false
 	if s.life.incarnation != incarnation {
 		// An earlier holder may have given the worker a lease of this duration.
 		s.life = workerLife{incarnation: incarnation, deadlineMS: clockMS + s.leaseDuration().Milliseconds()}
@@ -315,6 +316,14 @@
 	return s.life.deadline(startWindow), true
 }
 
+// mayRunElsewhere reports whether the worker may be running tasks at a former address, so that
+// another worker at the present one proves nothing.
+func (s *session) mayRunElsewhere() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.answered && s.life.deadlineMS != 0
+}
+
 // lastLife returns what is known of the worker's newest incarnation.
 func (s *session) lastLife() workerLife {
 	s.mu.Lock()
