Place a task only when its unknown runs have ended

Cause: a former holder that does not know of its successor yet can learn of the end of a run from a renewal that it sent before, and start the task again on a worker that the successor has not reached. The successor had adopted the first run. It stopped the second one as unknown, and after the end of the first one it placed the task a third time without waiting for the end of the second.

Change: a task with a run that is being stopped as unknown is not placed until that run has ended, its worker's lease has expired, or the worker has restarted.

Ruled out: a roster without the worker, an older roster from another lane, a worker that took a lower token. TestTaskWaitsForTheEndOfItsUnknownRun failed before.

--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -10,7 +10,7 @@
 	}
 	w.lastEnd = e.Number
 	key := runKey{e.Task, e.Run}
-	delete(w.unknownRuns, key)
+	s.forgetUnknownRun(w, key)
 	a, startedAt := w.attempts[key], s.now
 	if a != nil {
 		startedAt = a.started
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -79,7 +80,7 @@
 	}
 	s.closeAttempts(w)
 	w.fenced = false
-	clear(w.unknownRuns)
+	s.forgetUnknownRuns(w)
 	s.removeIfGone(w)
 }
 
@@ -163,6 +164,7 @@
 // beginLife replaces what is known about the worker's former incarnation, or about the
 // one before its lease expired.
 func (s *Scheduler) beginLife(w *worker, incarnation int64) {
+	s.forgetUnknownRuns(w)
 	w.life = newLife(incarnation)
 	delete(s.unstored, w)
 	s.freed = append(s.freed, w)
@@ -204,7 +206,11 @@
 		a = s.adopt(w, key)
 	}
 	if a == nil {
-		if emitted, known := w.unknownRuns[key]; !known || s.isStopOverdue(emitted, requestedAt) {
+		emitted, known := w.unknownRuns[key]
+		if t := s.task(key.task); t != nil && !known {
+			t.unknownOn = append(t.unknownOn, w.ID)
+		}
+		if !known || s.isStopOverdue(emitted, requestedAt) {
 			w.unknownRuns[key] = s.now
 			s.emit(Stop{Worker: w.ID, Task: key.task, Run: key.run, Reason: "unknown_run"})
 		}
@@ -283,11 +289,32 @@
 	}
 	for key := range w.unknownRuns {
 		if !present[key] {
-			delete(w.unknownRuns, key)
+			s.forgetUnknownRun(w, key)
 		}
 	}
 }
 
+// forgetUnknownRun records that an unknown run has ended, so its task may be placed.
+func (s *Scheduler) forgetUnknownRun(w *worker, key runKey) {
+	if _, known := w.unknownRuns[key]; !known {
+		return
+	}
+	delete(w.unknownRuns, key)
+	if t := s.task(key.task); t != nil {
+		if i := slices.Index(t.unknownOn, w.ID); i >= 0 {
+			t.unknownOn = slices.Delete(t.unknownOn, i, i+1)
+		}
+		s.queueReady(t.step.occ)
+	}
+}
+
+// forgetUnknownRuns records that a worker runs none of its unknown runs any more.
+func (s *Scheduler) forgetUnknownRuns(w *worker) {
+	for key := range w.unknownRuns {
+		s.forgetUnknownRun(w, key)
+	}
+}
+
 // confirm records that the worker runs the attempt.
 func (s *Scheduler) confirm(a *attempt) {
 	a.phase = running
--- a/internal/cell/reconcile_test.go
+++ b/internal/cell/reconcile_test.go
@@ -207,3 +207,30 @@
 	r.s.Listed(Listing{Worker: "w00", Incarnation: 1, RequestedAt: r.now})
 	assert.Assert(t, r.s.Drain("w00", true))
 }
+
+// Guards against a task that runs twice because a run that the former holder started during the takeover is still being stopped.
+func TestTaskWaitsForTheEndOfItsUnknownRun(t *testing.T) {
+	r := newRig(t, 3, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+	first := r.starts[0]
+	other := "w00"
+	if first.Worker == other {
+		other = "w01"
+	}
+	silent := r.workers[other]
+	silent.unreachable = true
+	r.takeOver(2)
+	// The former holder has learned that the first run failed, and has started another one.
+	silent.running = []RunningTask{{Task: first.Task, Run: first.Run + 1}}
+	silent.unreachable = false
+	r.sendListing(other)
+	silent.unreachable = true // the stop takes some time
+	r.runActions()
+	r.endRun(first.Worker, first.Task, first.Run, EndFailed)
+	r.advance(searchIntervalMS)
+	assert.Equal(t, len(r.starts), 1, "the run on %s is still being stopped", other)
+	silent.unreachable = false
+	r.endRun(other, first.Task, first.Run+1, EndStopped)
+	r.advance(searchIntervalMS)
+	assert.Equal(t, len(r.starts), 2)
+}
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -254,8 +254,7 @@
 	return s.openUnreconciled == 0 && !s.rosterLost || s.Settled()
 }
 
-// isHeld reports whether a worker that has not sent a listing may be running a task of
-// the step.
+// isHeld reports whether a worker may be running a task of the step without an attempt.
 func (s *step) isHeld() bool {
-	return slices.ContainsFunc(s.tasks, func(t *task) bool { return len(t.unreconciledOn) > 0 })
+	return slices.ContainsFunc(s.tasks, (*task).mayRunUnknown)
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -80,13 +80,19 @@
 	// unreconciledOn holds the workers that may be running the task for an earlier holder
 	// and have not sent a listing.
 	unreconciledOn []string
+	// unknownOn holds the workers that list a run of the task without an attempt, which is being
+	// stopped, once for each such run.
+	unknownOn []string
 }
 
 // isPlaceable reports whether an attempt of the task should be started.
 func (t *task) isPlaceable() bool {
-	return !t.done && len(t.unreconciledOn) == 0 && (len(t.attempts) == 0 || t.speculate && len(t.attempts) == 1)
+	return !t.done && !t.mayRunUnknown() && (len(t.attempts) == 0 || t.speculate && len(t.attempts) == 1)
 }
 
+// mayRunUnknown reports whether a worker may be running the task without an attempt.
+func (t *task) mayRunUnknown() bool { return len(t.unreconciledOn) > 0 || len(t.unknownOn) > 0 }
+
 func (t *task) id() TaskID {
 	return TaskID{Job: t.step.job.ID, Occurrence: t.step.occ.number, Step: t.step.index, Index: t.index}
 }
