--- a/internal/explain/twice_test.go
+++ b/internal/explain/twice_test.go
@@ -8,9 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a cause that does not say that tasks ran twice after a takeover, and what the
-// holder knew of the first worker. The lines are those of TestListingOfUnregisteredWorkerAfterTakeover
-// at commit 50f305a, where it failed.
+// Guards against a cause that does not say that tasks ran twice after a takeover, and what the holder knew of the first worker.
 func TestTaskStartedTwiceIsNamed(t *testing.T) {
 	log, err := os.Open("testdata/started-twice.log")
 	assert.NilError(t, err)
@@ -32,9 +30,7 @@
 	assert.Equal(t, dropped, 2, "the workers of the first runs")
 }
 
-// Guards against what another holder logged, or what is about another worker or came later, as
-// the reason of a second start, and against second starts named although the first run had ended
-// or had not begun, or by a holder that is not named as a former one.
+// Guards against second starts with a wrong reason, and against those named although the first run had ended or not begun.
 func TestReasonOfSecondStart(t *testing.T) {
 	const (
 		firstStart  = "ts=2 event=step_placed entry=e1 cell=0 token=7 job=5c0e7a21d94b36f8 task=5c0e7a21d94b36f8.0.0 runs=0:1@w1\n"
