Leave pauses of a process out of the time without a holder

Callers saw: a process that was paused while it had no link to the holder refused the first requests after the pause with 503 not_ready and a retry delay, although it reached the holder 1 ms later.

Cause: the time without a holder, after which requests are refused at once, included the pause.

TestPauseIsNoTimeWithoutHolder fails if the clock counts pauses.

--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -28,7 +28,7 @@
 	holder  *holder       // set if this process holds the cell
 	link    *link.Link    // to the holder, if another process holds the cell
 	changed chan struct{} // closed and replaced when holder or link changes
-	lostAt  time.Time     // when the cell was last reachable
+	lostAt  time.Duration // when the cell was last reachable, by the clock of the node's running time
 	// linkToken is the token of the claim for which the newest link was dialed.
 	linkToken int64
 	stale     claim // a claim that is known not to be renewed any more
@@ -58,7 +58,7 @@
 		logger:           n.cfg.Logger.With(zap.Int("cell", index)),
 		changed:          make(chan struct{}),
 		logSilentReports: make(chan struct{}, 1),
-		lostAt:           time.Now(),
+		lostAt:           n.running.now(),
 	}
 }
 
@@ -313,7 +313,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if (a.holder != nil || a.link != nil) && h == nil && l == nil {
-		a.lostAt = time.Now()
+		a.lostAt = a.node.running.now()
 	}
 	a.holder, a.link = h, l
 	close(a.changed)
@@ -339,15 +339,15 @@
 	return a.linkToken
 }
 
-// unreachableFor returns for how long neither a local holder nor a link to the holder
-// has existed; 0 if one exists.
+// unreachableFor returns for how long this process has run with neither a local holder nor
+// a link to the holder; 0 if it has one.
 func (a *agent) unreachableFor() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.holder != nil || a.link != nil {
 		return 0
 	}
-	return time.Since(a.lostAt)
+	return a.node.running.now() - a.lostAt
 }
 
 // handleFromHolder handles requests from the holder.
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -101,3 +101,13 @@
 		assert.ErrorContains(t, err, "did not reply in time")
 	}
 }
+
+// Guards against a request that is refused because the process was paused while it had no holder.
+func TestPauseIsNoTimeWithoutHolder(t *testing.T) {
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1}, Platform{}), 0)
+	paused := &a.node.running
+	paused.readAt = paused.readAt.Add(-2 * takeoverTimeout)
+	time.AfterFunc(100*time.Millisecond, func() { a.setRoute(nil, new(link.Link)) })
+	_, err := a.callHolder(within(4*time.Second), nil, func(*link.Link) error { return nil })
+	assert.NilError(t, err)
+}
--- a/internal/entry/ingress.go
+++ b/internal/entry/ingress.go
@@ -14,7 +14,7 @@
 // Timing of requests to a holder.
 const (
 	// takeoverTimeout is how long a request waits for the cell to get a holder, counted
-	// from when the cell lost its holder. Most takeovers are shorter, and later refusals
+	// from when the cell lost its holder, without pauses of this process. Most takeovers are shorter, and later refusals
 	// are of no use to callers.
 	takeoverTimeout = 1500 * time.Millisecond
 	// holderRetryDelay is the delay before a request is sent to the same holder again.
@@ -118,7 +118,7 @@
 // lost, it tries the next one; requests are idempotent.
 func (a *agent) callHolder(ctx context.Context, local func(*holder) error, remote func(*link.Link) error) (servedBy, error) {
 	sent := false
-	var unserved time.Time // since when no holder has served the request
+	unserved := time.Duration(-1) // since when no holder has served the request; -1 if one may have
 	for {
 		h, l, changed := a.route()
 		var err error
@@ -143,10 +143,10 @@
 			return by, a.errUnserved(sent, err)
 		}
 		// The time that a holder took before it was lost is no time without a holder.
-		if unserved.IsZero() || lost && time.Since(called) > holderRetryDelay {
-			unserved = time.Now().Add(-a.unreachableFor())
+		if unserved < 0 || lost && time.Since(called) > holderRetryDelay {
+			unserved = max(a.node.running.now()-a.unreachableFor(), 0)
 		}
-		left := takeoverTimeout - time.Since(unserved)
+		left := takeoverTimeout - (a.node.running.now() - unserved)
 		if left <= 0 {
 			return by, a.errNoHolder(sent)
 		}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -30,6 +30,7 @@
 	stopping atomic.Bool
 	requests atomic.Int64 // number of caller requests in progress
 	speed    speedMeter
+	running  runClock
 
 	mu     sync.Mutex
 	closed bool
--- /dev/null
+++ b/internal/entry/runclock.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+// maxRunGap is the longest time between two readings of a runClock that counts as time in
+// which the process ran. probeSpeed reads the clock every probeInterval.
+const maxRunGap = 5 * probeInterval
+
+// runClock measures the time for which the process has run, without the time for which it
+// was paused. It is safe for concurrent use.
+type runClock struct {
+	mu     sync.Mutex
+	readAt time.Time
+	ran    time.Duration
+}
+
+// now returns for how long the process has run. Only differences between two results are
+// meaningful.
+func (c *runClock) now() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := time.Now()
+	if !c.readAt.IsZero() {
+		c.ran += min(at.Sub(c.readAt), maxRunGap)
+	}
+	c.readAt = at
+	return c.ran
+}
--- a/internal/entry/speed.go
+++ b/internal/entry/speed.go
@@ -70,6 +70,7 @@
 	var sum uint64
 	wasSlow := false
 	for clock.Sleep(n.ctx, probeInterval) {
+		n.running.now()
 		start := time.Now()
 		sum += xxhash.Sum64(data)
 		n.speed.add(time.Since(start))
