Drop what a replaced session with a worker still reports

Callers saw: a task could run twice if a session of a former address reported late that its worker had been replaced, after the next incarnation had got the task.

Cause: only the end of a lease was checked for the session that reports it.

Change: listings, silence and replacements are checked as well. The next session lists the worker itself.

TestLateReplacementOfFormerSession failed before: three starts in place of two.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -116,7 +116,7 @@
 		}
 		listing := result.Listing
 		s.recordResponse(listing.Incarnation, result.ClockMS)
-		s.holder.post(func(sched *cell.Scheduler) {
+		s.report(func(sched *cell.Scheduler) {
 			sched.Listed(listing)
 			s.acknowledge(listing.Incarnation, sched.Acknowledged(s.target.ID))
 		})
@@ -241,12 +241,12 @@
 	}
 	if errors.As(err, &c) && c.Failure == ControlReplaced && !s.mayRunElsewhere() {
 		s.holder.logger.Info("worker_gone", zap.String("worker", s.target.ID))
-		s.holder.post(func(sched *cell.Scheduler) { sched.WorkerReplaced(s.target.ID, sentAt) })
+		s.report(func(sched *cell.Scheduler) { sched.WorkerReplaced(s.target.ID, sentAt) })
 		return false
 	}
 	if s.setUnreachable() {
 		s.holder.logger.Warn("worker_lost", zap.String("worker", s.target.ID), zap.Error(err))
-		s.holder.post(func(sched *cell.Scheduler) { sched.WorkerUnreachable(s.target.ID, sentAt) })
+		s.report(func(sched *cell.Scheduler) { sched.WorkerUnreachable(s.target.ID, sentAt) })
 	}
 	if at, known := s.leaseEnd(); known && s.holder.confirmedSince(at) {
 		s.leaseExpired()
--- a/internal/entry/session_change_test.go
+++ b/internal/entry/session_change_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest"
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
@@ -52,6 +56,54 @@
 	}
 }
 
+// Guards against a task that runs twice because a session that has been replaced reports late that its worker was, after the next incarnation has got the task.
+func TestLateReplacementOfFormerSession(t *testing.T) {
+	fleet := newFakeFleet(2)
+	view := &replacedFleet{fakeFleet: fleet}
+	one := fleet.infos[:1]
+	all := fleet.infos
+	fleet.infos = one
+	reached, release := make(chan struct{}), make(chan struct{})
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	logger := zaptest.NewLogger(t, zaptest.Level(zap.InfoLevel), zaptest.WrapOptions(zap.Hooks(func(e zapcore.Entry) error {
+		if e.Message == "worker_gone" {
+			close(reached)
+			<-release // the goroutine of the session is descheduled before its report
+		}
+		return nil
+	})))
+	n := NewNode(Config{
+		Name: "a", Domain: "d", Incarnation: "a" + ln.Addr().String(), LinkAddress: ln.Addr().String(),
+		Cells: 1, LeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3, Logger: logger,
+	}, Platform{Log: &clientLog{fakeLog: newFakeLog()}, Registry: fleet, Controller: view, Policy: fleet})
+	n.Start(ln)
+	t.Cleanup(func() { n.Close(); n.tasks.Wait() })
+	node := &testNode{Node: n}
+	eventually(t, "a holder", node.holds)
+	job := testJob(1)
+	job.Steps[0].EstimateMS = 60_000
+	assert.NilError(t, n.Submit(within(3*time.Second), job))
+	eventually(t, "a start", func() bool { return fleet.started() == 1 })
+	h, _, _ := n.agents()[0].route()
+	eventually(t, "a listing of the run", func() bool { return sessionOf(h, "w0").isAnswering() })
+	time.Sleep(500 * time.Millisecond)
+
+	// The worker starts again at another address, and another one takes the former address.
+	view.gone.Store(true)
+	<-reached
+	fleet.restart("w0")
+	moved := slices.Clone(one)
+	moved[0].Address = "moved"
+	h.setWorkers(moved)
+	eventually(t, "a start on the next incarnation", func() bool { return fleet.started() == 2 })
+	h.setWorkers([]cell.WorkerInfo{moved[0], all[1]})
+	time.Sleep(500 * time.Millisecond) // the other worker is listed, and in the stored roster
+	close(release)
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, fleet.started(), 2, "started again while its run on w0 goes on")
+}
+
 // replacedFleet has another worker at the address "w0" once gone is set.
 type replacedFleet struct {
 	*fakeFleet
