Close the session of a replaced worker in the event that reports it

Callers saw: a registered worker got no tasks until another entry of the registry changed.

Cause: the replacement and the end of the session were two events. An entry that was read between them found the ended session and opened none.

TestWorkerThatReturnsAfterItWasReplaced failed before.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -241,7 +241,11 @@
 	}
 	if errors.As(err, &c) && c.Failure == ControlReplaced && !s.mayRunElsewhere() {
 		s.holder.logger.Info("worker_gone", zap.String("worker", s.target.ID))
-		s.report(func(sched *cell.Scheduler) { sched.WorkerReplaced(s.target.ID, sentAt) })
+		s.report(func(sched *cell.Scheduler) {
+			sched.WorkerReplaced(s.target.ID, sentAt)
+			// In the same event, so that an entry that is read next opens a session.
+			s.holder.closeSession(s)
+		})
 		return false
 	}
 	if s.setUnreachable() {
--- a/internal/entry/session_change_test.go
+++ b/internal/entry/session_change_test.go
@@ -56,6 +56,27 @@
 	}
 }
 
+// Guards against a registered worker without a session because its entry is read between the two reports of a session that a replaced worker ended.
+func TestWorkerThatReturnsAfterItWasReplaced(t *testing.T) {
+	fleet := newFakeFleet(1)
+	n := startNode(t, "a", newFakeLog(), fleet)
+	eventually(t, "a holder", n.holds)
+	h, _, _ := n.agents()[0].route()
+	eventually(t, "a listing", func() bool { s := sessionOf(h, "w0"); return s != nil && s.isAnswering() })
+	s := sessionOf(h, "w0")
+	h.setWorkers(nil) // the entry lapses
+	release := make(chan struct{})
+	h.post(func(*cell.Scheduler) { <-release })
+	assert.Assert(t, !s.handleRenewalError(&ControlError{Failure: ControlReplaced}, h.now()))
+	h.setWorkers(fleet.infos)                                  // the entry returns
+	h.post(func(*cell.Scheduler) { s.holder.closeSession(s) }) // as run does after handleRenewalError
+	close(release)
+	time.Sleep(3 * time.Second)
+	has := make(chan [2]bool, 1)
+	h.post(func(c *cell.Scheduler) { has <- [2]bool{c.HasWorker("w0"), h.sessions["w0"] != nil} })
+	assert.Equal(t, <-has, [2]bool{true, true}, "known, with a session")
+}
+
 // Guards against a task that runs twice because a session that has been replaced reports late that its worker was, after the next incarnation has got the task.
 func TestLateReplacementOfFormerSession(t *testing.T) {
 	fleet := newFakeFleet(2)
