Leave pauses of the holder out of the silence of the log

Callers saw: after a pause of the holder with an append outstanding, new jobs were refused with log_unavailable.

Change: the time of an outstanding append is measured by the clock of the running time. A gap of more than 500 ms counts as 100 ms of it, since 500 ms is the shortest silence for which jobs are refused.

TestPauseOfHolderIsNoSilenceOfTheLog fails if the clock counts pauses, and with 500 ms counted per gap. TestTimeWithoutHolderCountsWithoutRequests fails if probeSpeed does not read the clock.

--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -110,6 +110,7 @@
 		priorAuthority: priorAuthority,
 	}
 	h.writer = newRecordWriter(a.node.platform.Log, a.cell, a.node.cfg.Partitions, c.Token, h.logger)
+	h.writer.running = &a.node.running
 	h.writer.open = c.Lanes | firstLane
 	h.writer.onConfirmed = h.confirm
 	h.writer.claimsRespond = h.claimsRespond
--- a/internal/entry/runclock.go
+++ b/internal/entry/runclock.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// maxRunGap is the longest time between two readings of a runClock that counts as time in
-// which the process ran. probeSpeed reads the clock every probeInterval.
+// maxRunGap is the time between two readings of a runClock from which on the process counts as
+// paused in between. probeSpeed reads the clock every probeInterval.
 const maxRunGap = 5 * probeInterval
 
 // runClock measures the time for which the process has run, without the time for which it
@@ -24,7 +24,11 @@
 	defer c.mu.Unlock()
 	at := time.Now()
 	if !c.readAt.IsZero() {
-		c.ran += min(at.Sub(c.readAt), maxRunGap)
+		gap := at.Sub(c.readAt)
+		if gap >= maxRunGap {
+			gap = probeInterval
+		}
+		c.ran += gap
 	}
 	c.readAt = at
 	return c.ran
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -64,12 +64,13 @@
 	// renewClaim requests a renewal of the claim, so that it lists the lanes that
 	// lanesToClaim returns.
 	renewClaim func()
+	running    *runClock // of the process
 
 	mu      sync.Mutex
 	pending []cell.Persist
 	wake    chan struct{}
-	// outstandingSince is when the current batch was first sent; zero if there is none.
-	outstandingSince time.Time
+	// outstandingSince is when the current batch was first sent, by running; -1 if there is none.
+	outstandingSince time.Duration
 	lastLatency      time.Duration   // of the newest successful append
 	lane             int             // current lane, to which records are written
 	requested        laneSet         // lanes to be added to the claim
@@ -95,6 +96,7 @@
 	w := &recordWriter{
 		log: log, cell: index, partitions: partitions, epoch: epoch, logger: logger, wake: make(chan struct{}, 1),
 		onConfirmed: func(time.Duration) {}, claimsRespond: func(time.Duration) bool { return false }, renewClaim: func() {},
+		running: new(runClock), outstandingSince: -1,
 		open: firstLane, sweep: map[string]bool{}, openChanged: make(chan struct{}),
 	}
 	for i := range w.streams {
@@ -175,20 +177,21 @@
 	return false
 }
 
-// silentFor returns how long the current batch has been outstanding, or 0 if there is
-// none.
+// silentFor returns for how long the process has run since the current batch was first sent,
+// or 0 if there is none.
 func (w *recordWriter) silentFor() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.outstandingSince.IsZero() {
+	if w.outstandingSince < 0 {
 		return 0
 	}
-	return time.Since(w.outstandingSince)
+	return w.running.now() - w.outstandingSince
 }
 
-func (w *recordWriter) setOutstandingSince(t time.Time) {
+// endBatch records that no batch is outstanding.
+func (w *recordWriter) endBatch() {
 	w.mu.Lock()
-	w.outstandingSince = t
+	w.outstandingSince = -1
 	w.mu.Unlock()
 }
 
@@ -196,7 +199,7 @@
 func (w *recordWriter) idle() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.pending) == 0 && w.outstandingSince.IsZero()
+	return len(w.pending) == 0 && w.outstandingSince < 0
 }
 
 // run appends queued records until ctx ends or the writer is fenced.
@@ -228,7 +231,7 @@
 		if n > 0 {
 			batch := w.pending[:n:n]
 			w.pending = w.pending[n:]
-			w.outstandingSince = time.Now()
+			w.outstandingSince = w.running.now()
 			w.mu.Unlock()
 			return batch
 		}
@@ -253,7 +256,7 @@
 			if attempt > 1 {
 				w.logger.Info("log_regained", zap.Int("cell", w.cell), zap.Int("lane", lane), zap.Duration("after", w.silentFor()))
 			}
-			w.setOutstandingSince(time.Time{})
+			w.endBatch()
 			return true
 		case isFenced(err):
 			w.onFenced()
