Do not adopt a run that is being stopped as unknown

Callers saw: a worker got no tasks for as long as a run lasted there.

Cause: an unknown run whose stop was lost with a change of the worker's address was adopted once its task had no other run, but stayed in the list of unknown runs, which keeps the worker from getting tasks.

Change: an unknown run is stopped and its task waits for that, as since; stops of unknown runs are sent to a new address too.

TestUnknownRunIsNotAdoptedLater failed before: one start in place of two. TestTaskIsPlacedOnceItsUnknownRunIsGone guards conditions of that no test covered.

--- a/internal/cell/drain.go
+++ b/internal/cell/drain.go
@@ -33,6 +33,9 @@
 			s.emitStop(a, "address_changed")
 		}
 	}
+	for key := range w.unknownRuns {
+		s.emitUnknownStop(w, key)
+	}
 }
 
 // Undrain allows placing tasks on the worker again, once it has sent a listing that was
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -202,17 +202,16 @@
 // requested at the given time, after it was silent for another one.
 func (s *Scheduler) handleRunning(w *worker, key runKey, r *RunningTask, silent, requestedAt Instant) {
 	a := w.attempts[key]
-	if a == nil {
+	emitted, known := w.unknownRuns[key]
+	if a == nil && !known { // an unknown run is being stopped
 		a = s.adopt(w, key)
 	}
 	if a == nil {
-		emitted, known := w.unknownRuns[key]
 		if t := s.task(key.task); t != nil && !known {
 			t.unknownOn = append(t.unknownOn, w.ID)
 		}
 		if !known || s.isStopOverdue(emitted, requestedAt) {
-			w.unknownRuns[key] = s.now
-			s.emit(Stop{Worker: w.ID, Task: key.task, Run: key.run, Reason: "unknown_run"})
+			s.emitUnknownStop(w, key)
 		}
 		return
 	}
@@ -226,6 +225,12 @@
 	s.updateCheckpoint(a.task, a.run, r.Checkpoint)
 }
 
+// emitUnknownStop has a run without an attempt stopped.
+func (s *Scheduler) emitUnknownStop(w *worker, key runKey) {
+	w.unknownRuns[key] = s.now
+	s.emit(Stop{Worker: w.ID, Task: key.task, Run: key.run, Reason: "unknown_run"})
+}
+
 // openBegun opens an occurrence of a restored job that has a run although it is not due on
 // this holder's clock: an earlier holder, whose clock was ahead, has begun it.
 func (s *Scheduler) openBegun(id TaskID) {
--- a/internal/cell/reconcile_test.go
+++ b/internal/cell/reconcile_test.go
@@ -234,3 +234,80 @@
 	r.advance(searchIntervalMS)
 	assert.Equal(t, len(r.starts), 2)
 }
+
+// Guards against a worker that gets no tasks for as long as a run lasts there that was unknown at first and is adopted after its stop was lost.
+func TestUnknownRunIsNotAdoptedLater(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 500}, EstimateMS: 600_000}))
+		first := r.starts[0]
+		other := "w00"
+		if first.Worker == other {
+			other = "w01"
+		}
+		w := r.workers[other]
+		w.unreachable = true
+		r.takeOver(2)
+		// The former holder has learned that the first run failed, and has started another one.
+		w.running = []RunningTask{{Task: first.Task, Run: first.Run + 1}}
+		w.unreachable = false
+		r.sendListing(other)
+		w.unreachable = true // the stop does not reach it
+		r.runActions()
+		w.unreachable = false
+		if moved {
+			r.s.ResendStops(other)
+			r.runActions()
+			assert.Equal(t, len(w.running), 0, "the stop goes to the new address at once")
+		}
+		r.endRun(first.Worker, first.Task, first.Run, EndFailed)
+		for range 100 { // 10 s
+			r.advance(checkIntervalMS)
+		}
+		assert.Equal(t, len(r.starts), 2, "moved %v", moved)
+		assert.Assert(t, r.s.workers[other].takesWork(r.now), "moved %v: %d unknown runs", moved, len(r.s.workers[other].unknownRuns))
+	}
+}
+
+// Guards against a task that is never started again after its unknown run has gone without a listed end.
+func TestTaskIsPlacedOnceItsUnknownRunIsGone(t *testing.T) {
+	for how, goneBy := range map[string]func(r *rig, other string){
+		"restart":       func(r *rig, other string) { r.workers[other].incarnation++; r.workers[other].unreachable = false },
+		"lease expired": func(r *rig, other string) { r.s.LeaseExpired(other) },
+		"replaced":      func(r *rig, other string) { r.s.WorkerReplaced(other, r.now) },
+		"not listed":    func(r *rig, other string) { r.workers[other].unreachable = false },
+	} {
+		for _, gang := range []bool{false, true} {
+			r := newRig(t, 3, Resources{CPUMilli: 1000, MemoryMB: 1000})
+			r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000, Gang: gang}))
+			first := r.starts[0]
+			other := "w00"
+			if first.Worker == other {
+				other = "w01"
+			}
+			silent := r.workers[other]
+			silent.unreachable = true
+			r.takeOver(2)
+			silent.running = []RunningTask{{Task: first.Task, Run: first.Run + 1}}
+			silent.unreachable = false
+			r.sendListing(other)
+			r.sendListing(other) // it is listed twice before it has stopped
+			silent.unreachable = true
+			r.runActions()
+			r.endRun(first.Worker, first.Task, first.Run, EndFailed)
+			for range 5 {
+				r.advance(searchIntervalMS)
+			}
+			assert.Equal(t, len(r.starts), 1, "%s, gang %v: the run on %s is still being stopped", how, gang, other)
+			// The placement of another task removes steps without tasks to place from the waiting list.
+			r.submit(oneStep(jobID(2), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+			assert.Equal(t, len(r.starts), 2)
+			silent.running = nil
+			goneBy(r, other)
+			for range 5 {
+				r.advance(searchIntervalMS)
+			}
+			assert.Equal(t, len(r.starts), 3, "%s, gang %v", how, gang)
+		}
+	}
+}
