Wait for omitted ends of all workers if the roster cannot be read

Callers saw: a task that was done could be started again after a takeover with an unreadable roster, if a worker's listings left out its end until the leases of earlier holders had expired.

Cause: only workers of the roster are waited for, and it named none.

Change: each registered worker counts as one of an unreadable roster, until its first complete listing.

TestOmittedEndsAfterUnreadableRoster failed before: two starts in place of one.

--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -28,6 +28,10 @@
 			case u.closed:
 				w.rosterSeq = unwritten // and listed as closed until it is reconciled
 			}
+			if s.rosterLost && s.unreconciled[info.ID] == nil {
+				s.unreconciled[info.ID] = &unreconciledWorker{} // the roster may have named it
+				s.openUnreconciled++
+			}
 		}
 		if info.Draining && !w.Draining {
 			s.emit(LogEvent{Event: EventWorkerDraining, Worker: info.ID, AgeMS: info.LeavesInMS})
--- a/internal/cell/reconcile_test.go
+++ b/internal/cell/reconcile_test.go
@@ -311,3 +311,14 @@
 		}
 	}
 }
+
+// Guards against a roster that says for ever that it may lack workers, so that each later takeover waits for all leases.
+func TestRosterIsCompleteAfterTheWait(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.restoreUnreadable(2)
+	for r.now < 13_000 {
+		r.advance(checkIntervalMS)
+	}
+	r.takeOver(3)
+	assert.Assert(t, !r.s.rosterLost)
+}
--- a/internal/cell/unreadable_test.go
+++ b/internal/cell/unreadable_test.go
@@ -97,3 +97,26 @@
 	r.advance(searchIntervalMS)
 	assert.Equal(t, len(r.starts), 0, "the entry is still that of the former life")
 }
+
+// Guards against a done task that is started again because, after an unreadable roster, nobody waits for the ends that the last listing of a worker left out.
+func TestOmittedEndsAfterUnreadableRoster(t *testing.T) {
+	for _, readable := range []bool{true, false} {
+		r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+		first := r.starts[0]
+		w := r.workers[first.Worker]
+		r.endRun(first.Worker, first.Task, first.Run, EndDone)
+		w.omitted = 1
+		if readable {
+			r.takeOver(2)
+		} else {
+			r.restoreUnreadable(2)
+		}
+		for r.now < 13000 {
+			r.advance(checkIntervalMS)
+		}
+		w.omitted = 0
+		r.advance(checkIntervalMS)
+		assert.Equal(t, len(r.starts), 1, "readable roster: %v", readable)
+	}
+}
