Name the unknown run for which a step waits

Operators saw: step_waits named closed_worker for a step that waits for a run that is being stopped as unknown. Found in a review.

Change: it names unknown_run. TestTaskIsPlacedOnceItsUnknownRunIsGone failed with closed_worker before.

--- a/internal/cell/reconcile_test.go
+++ b/internal/cell/reconcile_test.go
@@ -299,6 +299,7 @@
 				r.advance(searchIntervalMS)
 			}
 			assert.Equal(t, len(r.starts), 1, "%s, gang %v: the run on %s is still being stopped", how, gang, other)
+			assert.Equal(t, r.s.heldBy(r.s.task(first.Task).step), "unknown_run")
 			// The placement of another task removes steps without tasks to place from the waiting list.
 			r.submit(oneStep(jobID(2), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
 			assert.Equal(t, len(r.starts), 2)
--- a/internal/cell/waits.go
+++ b/internal/cell/waits.go
@@ -106,6 +106,14 @@
 	return fmt.Sprintf("%s need=%d%s", held, need, &counts)
 }
 
+// heldOn names where a worker may be running a task of the step without an attempt.
+func (st *step) heldOn() string {
+	if slices.ContainsFunc(st.tasks, func(t *task) bool { return len(t.unreconciledOn) > 0 }) {
+		return "closed_worker"
+	}
+	return "unknown_run"
+}
+
 // heldBy names what keeps the step from being placed on any worker, or returns "".
 func (s *Scheduler) heldBy(st *step) string {
 	switch {
@@ -114,7 +122,7 @@
 	case st.job.restored && !s.mayPlaceRestored():
 		return "takeover"
 	case st.isHeld():
-		return "closed_worker"
+		return st.heldOn()
 	case st.def.Gang && st.hasAttempts():
 		return "runs_ending"
 	case st.suspects > 0:
