Keep a gang running when the end of an earlier run of it is listed

Callers saw: a gang was stopped and started again from its last checkpoint after a takeover, if a worker that was reached late listed the end of an earlier run, or if an unknown run of a member was stopped.

Cause: any end but done and failed stopped the members of the gang that run, whatever run had ended.

Change: only the end of the run that the members have stops them.

--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -64,6 +64,10 @@
 		s.enqueue(st)
 	default:
 		s.emit(LogEvent{Event: EventRunLost, Failed: e.Kind != EndStopped, Job: st.job.ID, Task: e.Task.String(), Run: e.Run, Worker: w.ID, Detail: string(e.Kind)})
+		if !st.matchesGangRun(e.Run) {
+			s.enqueue(st) // the end of an earlier run is no reason to stop the present one
+			return
+		}
 		s.requeueLost(t)
 	}
 }
--- a/internal/cell/reconcile_test.go
+++ b/internal/cell/reconcile_test.go
@@ -323,3 +323,55 @@
 	r.takeOver(3)
 	assert.Assert(t, !r.s.rosterLost)
 }
+
+// Guards against a gang that is stopped because a run that was never adopted has ended elsewhere.
+func TestEndOfUnknownRunDoesNotStopItsGang(t *testing.T) {
+	r := newRig(t, 3, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000, Gang: true}))
+	assert.Equal(t, len(r.starts), 2)
+	other := ""
+	for id, w := range r.workers {
+		if len(w.running) == 0 {
+			other = id
+		}
+	}
+	silent := r.workers[other]
+	silent.unreachable = true
+	r.takeOver(2)
+	stops := len(r.stops)
+	silent.running = []RunningTask{{Task: r.starts[0].Task, Run: r.starts[0].Run + 1}}
+	silent.unreachable = false
+	for range 5 {
+		r.advance(checkIntervalMS)
+	}
+	assert.Equal(t, len(r.stops)-stops, 1, "only the unknown run is stopped")
+}
+
+// Guards against a gang that is stopped after a takeover because a worker still lists the end of an earlier run of it.
+func TestEndOfEarlierRunDoesNotStopItsGang(t *testing.T) {
+	r := newRig(t, 4, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000, Gang: true}))
+	assert.Equal(t, len(r.starts), 2)
+	first := r.starts[0]
+	for _, a := range r.starts {
+		r.endRun(a.Worker, a.Task, a.Run, EndStopped)
+	}
+	w := r.workers[first.Worker]
+	unacknowledged := append([]EndedTask(nil), w.ended...)
+	for i := range r.infos {
+		r.infos[i].Draining = r.infos[i].ID == first.Worker // so that the next run is elsewhere
+	}
+	r.s.SetWorkers(r.infos)
+	for range 20 {
+		r.advance(searchIntervalMS)
+	}
+	assert.Equal(t, len(r.starts), 4, "the gang runs again")
+	stops := len(r.stops)
+	w.unreachable = true // it is the last one that the next holder reaches
+	r.takeOver(2)
+	w.unreachable, w.ended = false, unacknowledged // the acknowledgement has not reached it
+	for range 5 {
+		r.advance(checkIntervalMS)
+	}
+	assert.Equal(t, len(r.stops), stops, "the second run of the gang goes on")
+}
