Give new tasks to workers with omitted ends after an unreadable roster

Callers saw: new jobs waited after a takeover with an unreadable roster while the listings of workers left out ends.

Cause: a worker that was not reconciled never counted as listed by the new roster, although that lists it as open.

Change: it does unless it is listed as closed, as after a readable roster.

TestNewJobBesideOmittedEndsAfterUnreadableRoster failed before: no start in 13 s. TestWorkersThatLeaveAndReturnAfterUnreadableRoster passed before as well.

--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -72,7 +72,7 @@
 	}
 	s.rosterSeq = s.persist(rosterKey, encode(r))
 	for id, w := range s.workers {
-		if s.unreconciled[id] == nil && w.rosterSeq == unwritten && !w.isClosed() {
+		if u := s.unreconciled[id]; (u == nil || !u.closed) && w.rosterSeq == unwritten && !w.isClosed() {
 			w.rosterSeq = s.rosterSeq
 		}
 	}
--- a/internal/cell/unreadable_test.go
+++ b/internal/cell/unreadable_test.go
@@ -120,3 +120,53 @@
 		assert.Equal(t, len(r.starts), 1, "readable roster: %v", readable)
 	}
 }
+
+// Guards against a worker that gets no tasks of new jobs after an unreadable roster while its listings leave out ends, although it gets some after a readable one.
+func TestNewJobBesideOmittedEndsAfterUnreadableRoster(t *testing.T) {
+	for _, readable := range []bool{true, false} {
+		r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		w := r.workers["w00"]
+		w.ended = []EndedTask{{Number: 1, Task: TaskID{Job: jobID(9)}, Run: 1, Kind: EndDone}}
+		w.number, w.omitted = 1, 1
+		if readable {
+			r.takeOver(2)
+		} else {
+			r.restoreUnreadable(2)
+		}
+		r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 1000}))
+		for r.now < 13_000 {
+			r.advance(checkIntervalMS)
+		}
+		assert.Equal(t, len(r.starts), 1, "readable roster: %v", readable)
+	}
+}
+
+// Guards against counts of unreconciled workers that do not return to 0 after workers have left and returned.
+func TestWorkersThatLeaveAndReturnAfterUnreadableRoster(t *testing.T) {
+	r := newRig(t, 3, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.workers["w00"].unreachable = true
+	r.workers["w01"].omitted = 1
+	r.workers["w01"].ended = []EndedTask{{Number: 1, Task: TaskID{Job: jobID(9)}, Run: 1, Kind: EndDone}}
+	r.restoreUnreadable(2)
+	r.advance(checkIntervalMS)
+	all := r.infos
+	for range 3 {
+		r.infos = all[2:]
+		r.s.SetWorkers(r.infos)
+		r.s.LeaseExpired("w01")
+		r.advance(checkIntervalMS)
+		r.infos = all
+		r.s.SetWorkers(r.infos)
+		r.advance(checkIntervalMS)
+	}
+	r.workers["w00"].unreachable, r.workers["w01"].omitted = false, 0
+	for r.now < 13_000 {
+		r.advance(checkIntervalMS)
+	}
+	assert.Equal(t, r.s.openUnreconciled, 0)
+	assert.Equal(t, len(r.s.unreconciled), 0)
+	assert.Assert(t, r.s.Settled())
+	for id, w := range r.s.workers {
+		assert.Assert(t, w.takesWork(r.now) && r.s.isInRoster(w), id)
+	}
+}
