Name no unknown run of a done task as the reason why a step waits

Operators saw: step_waits named unknown_run, or closed_worker before, for a step that waits for another reason. Found in a review.

Cause: tasks that are done counted; only gangs wait for these.

TestDoneTaskWithUnknownRunIsNoReasonToWait failed before.

--- a/internal/cell/reconcile_test.go
+++ b/internal/cell/reconcile_test.go
@@ -347,6 +347,24 @@
 	assert.Equal(t, len(r.stops)-stops, 1, "only the unknown run is stopped")
 }
 
+// Guards against a step_waits that names an unknown run of a task that is done.
+func TestDoneTaskWithUnknownRunIsNoReasonToWait(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 3, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+	first := r.starts[0]
+	r.endRun(first.Worker, first.Task, first.Run, EndDone)
+	r.advance(checkIntervalMS)
+	r.advance(searchIntervalMS)
+	assert.Equal(t, len(r.starts), 3)
+	st := r.s.task(first.Task).step
+	last := r.starts[1]
+	r.endRun(last.Worker, last.Task, last.Run, EndFailed)
+	w := r.workers[first.Worker]
+	w.running = append(w.running, RunningTask{Task: first.Task, Run: 9})
+	r.s.Listed(Listing{Worker: first.Worker, Incarnation: 1, RequestedAt: r.now, Running: w.running})
+	assert.Assert(t, r.s.heldBy(st) != "unknown_run", "the task with the unknown run is done")
+}
+
 // Guards against a gang that is stopped after a takeover because a worker still lists the end of an earlier run of it.
 func TestEndOfEarlierRunDoesNotStopItsGang(t *testing.T) {
 	r := newRig(t, 4, Resources{CPUMilli: 1000, MemoryMB: 1000})
--- a/internal/cell/waits.go
+++ b/internal/cell/waits.go
@@ -106,12 +106,20 @@
 	return fmt.Sprintf("%s need=%d%s", held, need, &counts)
 }
 
-// heldOn names where a worker may be running a task of the step without an attempt.
+// heldOn names where a worker may be running a task of the step without an attempt, or returns
+// "". Only a gang waits for such runs of tasks that are done.
 func (st *step) heldOn() string {
-	if slices.ContainsFunc(st.tasks, func(t *task) bool { return len(t.unreconciledOn) > 0 }) {
-		return "closed_worker"
+	held := ""
+	for _, t := range st.tasks {
+		switch {
+		case t.done && !st.def.Gang:
+		case len(t.unreconciledOn) > 0:
+			return "closed_worker"
+		case len(t.unknownOn) > 0:
+			held = "unknown_run"
+		}
 	}
-	return "unknown_run"
+	return held
 }
 
 // heldBy names what keeps the step from being placed on any worker, or returns "".
@@ -121,7 +129,7 @@
 		return "not_stored"
 	case st.job.restored && !s.mayPlaceRestored():
 		return "takeover"
-	case st.isHeld():
+	case st.heldOn() != "":
 		return st.heldOn()
 	case st.def.Gang && st.hasAttempts():
 		return "runs_ending"
