Leave pauses of the holder out of the age of its confirmation for refusals

Change: for the silence of the log, the age counts from the end of the last pause at the earliest. Authority and leases still count pauses.

--- a/internal/entry/runclock.go
+++ b/internal/entry/runclock.go
@@ -15,6 +15,8 @@
 	mu     sync.Mutex
 	readAt time.Time
 	ran    time.Duration
+	// resumed is the running time at the end of the last pause.
+	resumed time.Duration
 }
 
 // now returns for how long the process has run. Only differences between two results are
@@ -27,9 +29,18 @@
 		gap := at.Sub(c.readAt)
 		if gap >= maxRunGap {
 			gap = probeInterval
+			c.resumed = c.ran + gap
 		}
 		c.ran += gap
 	}
 	c.readAt = at
 	return c.ran
 }
+
+// sinceResumed returns for how long the process has run since its last pause.
+func (c *runClock) sinceResumed() time.Duration {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now - c.resumed
+}
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -21,10 +21,12 @@
 	}
 }
 
-// isLogSilent reports whether the log has not responded to the holder for too long.
+// isLogSilent reports whether the log has not responded to the holder for too long. During a
+// pause of the process it could not respond.
 func (h *holder) isLogSilent() bool {
 	limit := h.writer.silenceLimit()
-	return h.writer.silentFor() > limit || h.sinceConfirmed() > renewInterval+limit
+	unconfirmed := min(h.sinceConfirmed(), h.node.running.sinceResumed())
+	return h.writer.silentFor() > limit || unconfirmed > renewInterval+limit
 }
 
 // sinceConfirmed returns the time since the newest confirmed renewal or append was
