--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -12,7 +12,6 @@
 	cases["reserve"] = reserve
 	cases["lasting"] = lasting
 	cases["returned"] = returned
-	cases["overdue"] = overdue
 }
 
 // finishTime is finish_s.
@@ -282,33 +281,3 @@
 	}
 	return held, fmt.Sprintf("held: %d of %d cancels were answered", len(jobs)-unanswered, len(jobs))
 }
-
-// overdue: a job with so many times that are due that the processes exceed their memory.
-func overdue(trouble bool) (int, string) {
-	world.mu.Lock()
-	world.watch = true
-	world.mu.Unlock()
-	times := 400
-	if trouble {
-		times = 150000
-	}
-	timed := timedJob(times, time.Second)
-	rec.add("the job with many times was accepted: %v", timed.submit(5))
-	time.Sleep(80 * time.Second)
-	crashing, ends := 0, 0
-	for _, n := range world.nodes {
-		n.mu.Lock()
-		if n.starts > 3 {
-			crashing++
-		}
-		ends += n.starts - 1
-		n.mu.Unlock()
-	}
-	world.mu.Lock()
-	rec.add("%d of %d processes have ended three times or more, all by exceeding their memory: %d ends; workers have started %d of %d times", crashing, len(world.nodes), ends, timed.starts, times)
-	world.mu.Unlock()
-	if crashing >= 2 {
-		return broken, fmt.Sprintf("Fault: %d of %d processes have ended three times or more because their memory was over the limit, %d ends in all; nothing was disturbed", crashing, len(world.nodes), ends)
-	}
-	return held, fmt.Sprintf("held: %d ends of processes", ends)
-}
