--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,5 +1,5 @@
-// Package clock provides a sleep that a context can interrupt and a clock that includes
-// the time during which the VM is suspended. The drivers of entry processes, package
+// Package clock provides a sleep that a context can interrupt, a clock that includes the
+// time during which the VM is suspended, and the processor time of the process. The drivers of entry processes, package
 // platform and the stand-ins use it. It has no state and imports nothing internal.
 package clock
 
@@ -32,3 +32,13 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// ProcessorTime returns the processor time that the process has used, or 0 if the system
+// does not tell.
+func ProcessorTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_PROCESS_CPUTIME_ID, &t); err != nil {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
--- a/internal/entry/speed.go
+++ b/internal/entry/speed.go
@@ -69,7 +69,11 @@
 	data := make([]byte, probeBytes)
 	var sum uint64
 	wasSlow := false
-	for clock.Sleep(n.ctx, probeInterval) {
+	var meter stallMeter
+	for meter.start(); clock.Sleep(n.ctx, probeInterval); meter.start() {
+		if s, stalled := meter.end(probeInterval); stalled {
+			n.logStall(s)
+		}
 		n.running.now()
 		start := time.Now()
 		sum += xxhash.Sum64(data)
