Take processor time of a stall from getrusage

The process clock follows the steady clock where time is simulated, so a frozen process looked busy.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -36,9 +36,9 @@
 // ProcessorTime returns the processor time that the process has used, or 0 if the system
 // does not tell.
 func ProcessorTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_PROCESS_CPUTIME_ID, &t); err != nil {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
 		return 0
 	}
-	return time.Duration(t.Nano())
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
