--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -137,6 +137,15 @@
 	assert.Equal(t, fleet.started(), 0)
 }
 
+// Guards against sessions that keep the processor busy once the term has ended, so that the process does nothing else for seconds.
+func TestWaitForAcknowledgementEndsWithTheTerm(t *testing.T) {
+	s := testSession()
+	s.holder.endTerm("worker_fenced")
+	start := time.Now()
+	s.waitBeforeRenewal([]cell.EndedTask{{Number: 1}})
+	assert.Assert(t, time.Since(start) < acknowledgeTimeout/2, "waited for %v", time.Since(start))
+}
+
 // Guards against calls for ever to workers that have left, which pile up as VMs are replaced.
 func TestSessionEndsWithTheWorker(t *testing.T) {
 	fleet := newFakeFleet(1)
