End the wait for acknowledgements with the term

Callers saw 404 for a route that had been added more than 2 s before, and jobs accepted for one that had been dropped, from a process that had been frozen while it held a cell.

Cause: waitBeforeRenewal ignored the result of clock.Sleep. Once the term had ended, Sleep returned at once, and each of the 48 sessions took turns of the processor for acknowledgeTimeout, one after the other in turns of the Go scheduler, so no timer and no response of the process was handled for seconds.

Evidence: process_stalled.

Ruled out: a VM without processor time of its own (the stalls use it); pauses of the steady clock (suspended is 0). Not ruled out by this: the chain of timeouts and the answers from old knowledge, which have tests of their own in KNOWN-RED.txt.

--- a/Makefile
+++ b/Makefile
@@ -27,8 +27,8 @@
 
 # Tests that are red for a known fault, listed in KNOWN-RED.txt, as a regular expression,
 # and their packages. They run by themselves and do not count. Empty if there are none.
-KNOWN_RED = ^TestAcceptedJobsSurvive$$/^coordinator_paused_past_its_adoption$$|^TestWaitForAcknowledgementEndsWithTheTerm$$|^TestVersionIsInForceDespiteSilentConnections$$|^TestOldConfigurationGivesNoDefiniteAnswer$$
-KNOWN_RED_PACKAGES = ./test ./internal/entry ./platform
+KNOWN_RED = ^TestAcceptedJobsSurvive$$/^coordinator_paused_past_its_adoption$$|^TestVersionIsInForceDespiteSilentConnections$$|^TestOldConfigurationGivesNoDefiniteAnswer$$
+KNOWN_RED_PACKAGES = ./test ./platform
 
 unit:
 	$(GO) test -race -timeout 8m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(PACKAGES)
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -216,15 +216,16 @@
 
 // waitBeforeRenewal waits for renewalDelay. A worker answers a renewal at once while it
 // has ended tasks that are not acknowledged, so waitBeforeRenewal also waits until these
-// are stored, for up to acknowledgeTimeout.
+// are stored, for up to acknowledgeTimeout. It returns once the term ends.
 func (s *session) waitBeforeRenewal(ended []cell.EndedTask) {
-	clock.Sleep(s.ctx, renewalDelay)
-	if len(ended) == 0 {
+	if !clock.Sleep(s.ctx, renewalDelay) || len(ended) == 0 {
 		return
 	}
 	last := ended[len(ended)-1].Number
 	for start := time.Now(); s.acknowledged() < last && time.Since(start) < acknowledgeTimeout; {
-		clock.Sleep(s.ctx, acknowledgePollInterval)
+		if !clock.Sleep(s.ctx, acknowledgePollInterval) {
+			return
+		}
 	}
 }
 
