--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,13 @@
 	@unformatted=$$(gofmt -l cmd internal platform test 2>/dev/null); \
 	if [ -n "$$unformatted" ]; then echo "gofmt needed: $$unformatted"; exit 1; fi
 
+# A loop that ignores that a sleep was interrupted goes on without a pause, and keeps the
+# processor busy.
+USED_RESULTS = github.com/fulmarlatch/fulmarlatch/internal/clock.Sleep
+
 vet:
 	$(GO) vet $(PACKAGES)
+	$(GO) vet -unusedresult -unusedresult.funcs=$(USED_RESULTS) $(PACKAGES)
 
 lint:
 	$(GO) tool staticcheck $(PACKAGES)
--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -65,37 +65,41 @@
 // run follows the holder of the cell or becomes the holder, until ctx ends.
 func (a *agent) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := guard.Run(a.logger, "the agent of a cell", func() { a.step(ctx) }); err != nil {
+		pause := observeInterval // also after a panic
+		if err := guard.Run(a.logger, "the agent of a cell", func() { pause = a.step(ctx) }); err != nil {
 			a.setRoute(nil, nil)
-			clock.Sleep(ctx, observeInterval)
+		}
+		if !clock.Sleep(ctx, pause) {
+			return
 		}
 	}
 }
 
-// step reads the newest claim and follows or supersedes it.
-func (a *agent) step(ctx context.Context) {
+// step reads the newest claim and follows or supersedes it. It returns the pause before the
+// next step.
+func (a *agent) step(ctx context.Context) (pause time.Duration) {
 	newest, end, err := a.claims.read(ctx)
 	if err != nil {
 		a.logger.Debug("claim_not_read", zap.Error(err))
 		a.followLastKnown(ctx)
-		clock.Sleep(ctx, observeInterval)
-		return
+		return observeInterval
 	}
 	a.observe(newest)
 	switch {
 	case a.mayClaim(newest):
-		a.claim(ctx, newest, end)
+		return a.claim(ctx, newest, end)
 	case newest.Holder == a.node.cfg.Name && newest.Incarnation != a.node.cfg.Incarnation:
 		a.setStale(newest) // made by this process before its last start
+		return 0
 	case newest.Incarnation == a.node.cfg.Incarnation && newest.Holder == a.node.cfg.Name && newest.Token != a.servedToken:
 		// An append of this process's claim had no response but was carried out.
 		a.hold(ctx, newest, end, authorityPeriod)
+		return 0
 	case newest.Holder != "" && newest.Holder != a.node.cfg.Name:
 		a.follow(ctx, newest, a.dialTimeout())
-		clock.Sleep(ctx, redialDelay)
-	default:
-		clock.Sleep(ctx, observeInterval)
+		return redialDelay
 	}
+	return observeInterval
 }
 
 // followLastKnown dials the last known holder while the log does not respond.
@@ -161,8 +165,9 @@
 	}
 }
 
-// claim tries to become the holder by appending a claim at end.
-func (a *agent) claim(ctx context.Context, old claim, end int64) {
+// claim tries to become the holder by appending a claim at end. It returns the pause before the
+// next step, which is random after a failure so that two claimants do not meet again.
+func (a *agent) claim(ctx context.Context, old claim, end int64) (pause time.Duration) {
 	next := claim{
 		Holder:      a.node.cfg.Name,
 		Incarnation: a.node.cfg.Incarnation,
@@ -177,13 +182,13 @@
 	newEnd, err := a.claims.append(ctx, next, end)
 	if err != nil {
 		a.logger.Info("claim_failed", zap.Int64("end", end), zap.String("old_holder", old.Holder), zap.Error(err))
-		clock.Sleep(ctx, rand.N(observeInterval))
-		return
+		return rand.N(observeInterval)
 	}
 	next.Token = newEnd
 	a.logger.Info("claim_made", zap.Int64("token", newEnd), zap.Uint32("term", next.Term), zap.String("old_holder", old.Holder),
 		zap.Duration("unchanged", time.Since(a.watch.since)))
 	a.hold(ctx, next, newEnd, old.priorAuthority())
+	return 0
 }
 
 // hold runs the holder until it loses the cell. For up to priorAuthority, an earlier
@@ -282,7 +287,9 @@
 		case time.Since(since) > staleAfter:
 			return seen, true
 		}
-		clock.Sleep(ctx, observeInterval)
+		if !clock.Sleep(ctx, observeInterval) {
+			break
+		}
 	}
 	return claim{}, false
 }
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -58,7 +58,9 @@
 			return
 		}
 		n.cfg.Logger.Debug("not_registered", zap.Error(err))
-		clock.Sleep(n.ctx, registerRetryDelay)
+		if !clock.Sleep(n.ctx, registerRetryDelay) {
+			return
+		}
 	}
 }
 
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -54,7 +54,7 @@
 	delay := l.delay
 	l.mu.Unlock()
 	if delay > 0 {
-		clock.Sleep(ctx, delay)
+		_ = clock.Sleep(ctx, delay)
 	}
 }
 
--- a/internal/entry/layout.go
+++ b/internal/entry/layout.go
@@ -65,7 +65,9 @@
 			}
 		default:
 		}
-		clock.Sleep(ctx, layoutRetryDelay)
+		if !clock.Sleep(ctx, layoutRetryDelay) {
+			break
+		}
 	}
 	return 0
 }
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -111,7 +111,9 @@
 			if !s.handleRenewalError(err, result.Listing.RequestedAt) {
 				return
 			}
-			clock.Sleep(s.ctx, renewalRetryDelay)
+			if !clock.Sleep(s.ctx, renewalRetryDelay) {
+				return
+			}
 			continue
 		}
 		listing := result.Listing
@@ -433,7 +435,9 @@
 			case errors.As(err, &c) && c.Failure == ControlReplaced:
 				return // the run has ended with the worker
 			}
-			clock.Sleep(s.ctx, stopRetryDelay)
+			if !clock.Sleep(s.ctx, stopRetryDelay) {
+				return
+			}
 		}
 	})
 }
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -113,7 +113,9 @@
 			return err
 		}
 		w.logger.Warn("log_append_failed", zap.Int("cell", w.cell), zap.Int("lane", lane), zap.Error(err))
-		clock.Sleep(ctx, retryDelay)
+		if !clock.Sleep(ctx, retryDelay) {
+			return err
+		}
 	}
 }
 
@@ -268,8 +270,8 @@
 			w.logger.Warn("log_lost", zap.Int("cell", w.cell), zap.Int("lane", lane), zap.Int("records", len(batch)), zap.Error(err))
 			w.renewClaim() // whether the renewal is answered shows if only the lane is down
 		}
-		if !w.claimsRespond(start) || !w.changeLane(ctx) {
-			clock.Sleep(ctx, retryDelay)
+		if (!w.claimsRespond(start) || !w.changeLane(ctx)) && !clock.Sleep(ctx, retryDelay) {
+			return false
 		}
 	}
 }
--- a/internal/entry/yield.go
+++ b/internal/entry/yield.go
@@ -28,8 +28,7 @@
 	if h.node.cfg.CPUShare == 0 {
 		return
 	}
-	clock.Sleep(h.ctx, time.Until(h.agent.noYieldUntil))
-	for clock.Sleep(h.ctx, yieldInterval) {
+	for wait := max(time.Until(h.agent.noYieldUntil), 0) + yieldInterval; clock.Sleep(h.ctx, wait); wait = yieldInterval {
 		own := h.node.cpuMilli()
 		if name, share := h.strongestFollower(); float64(share) >= yieldFactor*float64(own) {
 			h.logger.Info("holder_yields", zap.String("follower", name), zap.Uint64("cpu_milli", share), zap.Uint64("own_cpu_milli", own), zap.Bool("restored", h.ready.Load()))
--- a/internal/platformlog/appender.go
+++ b/internal/platformlog/appender.go
@@ -106,7 +106,9 @@
 		}
 		began := time.Now()
 		a.append(ctx, batch)
-		clock.Sleep(ctx, a.interval-time.Since(began))
+		if !clock.Sleep(ctx, a.interval-time.Since(began)) {
+			break
+		}
 	}
 	return ctx.Err()
 }
@@ -147,7 +149,7 @@
 	case err == nil:
 		a.removePending(batch)
 	case status == http.StatusTooManyRequests:
-		clock.Sleep(ctx, time.Duration(fault.As(err).RetryAfterMS)*time.Millisecond)
+		_ = clock.Sleep(ctx, time.Duration(fault.As(err).RetryAfterMS)*time.Millisecond) // Run checks ctx
 	case status >= 400 && status < 500:
 		a.handleRefusal(batch, err)
 	default:
@@ -165,7 +167,9 @@
 			_ = a.tail.WaitFor(ctx, response.Next) // fails only if ctx ends
 			return
 		}
-		clock.Sleep(ctx, resolveRetryDelay)
+		if !clock.Sleep(ctx, resolveRetryDelay) {
+			return
+		}
 	}
 }
 
--- a/internal/platformlog/tail.go
+++ b/internal/platformlog/tail.go
@@ -61,7 +61,9 @@
 	for ctx.Err() == nil {
 		if err := t.readOnce(ctx); err != nil && ctx.Err() == nil {
 			t.reportState(false, err)
-			clock.Sleep(ctx, tailRetryDelay)
+			if !clock.Sleep(ctx, tailRetryDelay) {
+				break
+			}
 		}
 	}
 	return ctx.Err()
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -84,8 +84,8 @@
 	l.mu.Lock()
 	faults := l.faults
 	l.mu.Unlock()
-	if faults.DelayMS > 0 {
-		clock.Sleep(l.ctx, milliseconds(faults.DelayMS))
+	if faults.DelayMS > 0 && !clock.Sleep(l.ctx, milliseconds(faults.DelayMS)) {
+		return fault.New(fault.LogDown, "the log service stops", "start it again")
 	}
 	if faults.Down {
 		return fault.New(fault.LogDown, "the log service is down", "wait until it is up")
--- a/internal/standin/sweep.go
+++ b/internal/standin/sweep.go
@@ -73,8 +73,8 @@
 	w.mu.Lock()
 	delay := w.faults.delay
 	w.mu.Unlock()
-	if delay > 0 {
-		clock.Sleep(w.ctx, delay)
+	if delay > 0 && !clock.Sleep(w.ctx, delay) {
+		return false
 	}
 	return w.waitWhilePaused()
 }
