Pause between reads of a claim of this process's former start

A restarted process on a VM with a small share of a processor leaves the cell to larger VMs for up to 2 s, and read the claims all that time without a pause: each read is priced, and takes processor time from the callers.

--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -89,8 +89,10 @@
 	case a.mayClaim(newest):
 		return a.claim(ctx, newest, end)
 	case newest.Holder == a.node.cfg.Name && newest.Incarnation != a.node.cfg.Incarnation:
-		a.setStale(newest) // made by this process before its last start
-		return 0
+		if !a.isStale(newest) {
+			a.setStale(newest) // made by this process before its last start
+			return 0
+		}
 	case newest.Incarnation == a.node.cfg.Incarnation && newest.Holder == a.node.cfg.Name && newest.Token != a.servedToken:
 		// An append of this process's claim had no response but was carried out.
 		a.hold(ctx, newest, end, authorityPeriod)
