Decide on the age of the configuration in a package of its own

Whether a request may be answered by what a process has read is a decision of the product, not a translation, so it moves from platform to internal/freshness, with tests that need no network. The state of a Tracker, its limits and its waits are as before; platform tells it of its reads.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,7 +1,7 @@
 // Package clock provides a sleep that a context can interrupt, a clock that includes the
 // time during which the VM is suspended, and the processor time of the process. The drivers
-// of entry processes, package platform, package httpjson and the stand-ins use it. It has no
-// state and imports nothing internal.
+// of entry processes, packages platform, httpjson and freshness, and the stand-ins use it.
+// It has no state and imports nothing internal.
 package clock
 
 import (
