Ask about workers that become suitable after a step has asked about all

Callers saw accepted gangs stay pending for ever, with nearly all workers free (LOST), after an outage of the log in which entries of workers had lapsed.

Cause: a step kept the time at which it had asked about all registered workers and asked again only once a worker with an unknown ID had joined. A worker whose entry lapsed stays known, so its return changed nothing.

Change: the set of workers has a version, which changes with every fact that an unasked worker is selected by. A step keeps the version in which a search found no unasked worker, not a time at which calls were queued. A refusal counts for one life of the worker and only if the worker is registered when it arrives.

Ruled out: the share of allowed workers (it only sizes the first call), restored steps (they have no answers).

--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -1,5 +1,7 @@
 package cell
 
+import "slices"
+
 // Action is an instruction from the Scheduler that the holder carries out.
 type Action interface{ isAction() }
 
@@ -233,3 +235,8 @@
 	LeavesInMS  int64
 	Incarnation int64 // worker's start time in Unix ms; 0 if unknown
 }
+
+// suitsLike reports whether the two entries suit the same steps.
+func (i *WorkerInfo) suitsLike(other *WorkerInfo) bool {
+	return i.Service == other.Service && i.Draining == other.Draining && i.Capacity == other.Capacity && slices.Equal(i.Labels, other.Labels)
+}
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -21,7 +21,7 @@
 	switch {
 	case !st.permits.answered:
 		s.requestPermits(st, s.initialWorkers(st))
-	case s.newWorkerAt > st.permits.allAskedAt && s.needsMoreWorkers(st) && s.requestUnasked(st):
+	case st.permits.allAskedIn != s.workersVersion && s.needsMoreWorkers(st) && s.requestUnasked(st):
 	case s.mayRenew(st) && fitsWithoutPermit:
 		s.requestPermits(st, s.workersToRenew(st))
 	case s.mayRenew(st) && !st.def.Gang && len(st.permits.asked) < maxCallWorkers && s.now >= st.permits.nextWiden:
@@ -78,10 +78,12 @@
 // reports whether there are any.
 func (s *Scheduler) requestUnasked(st *step) bool {
 	found := s.unaskedWorkers(st, 0)
-	if named := s.requestPermits(st, workerIDs(found)); named == len(found) {
-		st.permits.allAskedAt = s.now
+	if len(found) == 0 {
+		st.permits.allAskedIn = s.workersVersion
+		return false
 	}
-	return len(found) > 0
+	s.requestPermits(st, workerIDs(found))
+	return true
 }
 
 // The first call for a step names enough workers that the ones expected to be allowed
@@ -226,8 +228,8 @@
 	var found []unaskedWorker
 	seed := xxhash.Sum64String(st.name())
 	for id, w := range s.workers {
-		if !st.permits.asked[id] && w.Service == st.job.Queue.Service && w.registered && !w.Draining &&
-			w.hasLabel(st.def.Label) && w.Capacity.Covers(st.demand) {
+		if w.registered && !w.Draining && w.Service == st.job.Queue.Service && w.hasLabel(st.def.Label) &&
+			w.Capacity.Covers(st.demand) && !st.permits.hasAnswer(w) {
 			fits := w.free().FitCount(st.demand, len(st.tasks))
 			if fits >= minFits {
 				found = append(found, unaskedWorker{id, fits, (w.idHash ^ seed) * fibonacciMultiplier})
--- /dev/null
+++ b/internal/cell/asked_test.go
@@ -0,0 +1,108 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// gangOfThree is a gang that needs three workers of the rig and their permits.
+func gangOfThree(label string) Job {
+	return Job{ID: jobID(1), Queue: permitQueue(), Steps: []Step{{Tasks: 3, Resources: Resources{CPUMilli: 900}, EstimateMS: 100, Gang: true, Label: label}}}
+}
+
+// A gang that has asked about all suitable workers must ask about those that become suitable
+// later, also if they were known before. Otherwise it never starts.
+func TestGangAsksAboutWorkersThatBecomeSuitable(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		unsuitable func(*WorkerInfo)
+	}{
+		{"back in the registry", nil},
+		{"no longer draining", func(w *WorkerInfo) { w.Draining = true }},
+		{"with more capacity", func(w *WorkerInfo) { w.Capacity.CPUMilli = 500 }},
+		{"with the label", func(w *WorkerInfo) { w.Labels = nil }},
+		{"in the service", func(w *WorkerInfo) { w.Service = "other" }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, 3, Resources{CPUMilli: 1000, MemoryMB: 1000})
+			r.allow = func(string, string) bool { return true }
+			suitable := slices.Clone(r.infos)
+			for i := range r.infos[1:] {
+				if test.unsuitable != nil {
+					test.unsuitable(&r.infos[1+i])
+				}
+			}
+			registered := r.infos
+			if test.unsuitable == nil {
+				registered = r.infos[:1]
+			}
+			r.s.SetWorkers(registered)
+			r.submit(gangOfThree("a"))
+			r.advance(searchIntervalMS)
+			assert.Equal(t, len(r.starts), 0)
+			r.infos = suitable
+			r.s.SetWorkers(r.infos)
+			for range 5 {
+				r.advance(searchIntervalMS)
+			}
+			assert.Equal(t, len(r.starts), 3)
+		})
+	}
+}
+
+// The answers for the former life of a worker, and those that arrive while it is not
+// registered, must not count for its next life. Otherwise a gang that needs it never starts.
+func TestRefusalEndsWithTheLifeOfTheWorker(t *testing.T) {
+	for _, absent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("absent=%v", absent), func(t *testing.T) {
+			r := newRig(t, 3, Resources{CPUMilli: 1000, MemoryMB: 1000})
+			r.submit(gangOfThree(""))
+			assert.Equal(t, len(r.permitRequests), 1)
+			if absent {
+				r.s.SetWorkers(r.infos[:2])
+			}
+			first := r.permitRequests[0]
+			r.s.PermitsReceived(PermitResult{Caller: first.Caller, Step: first.Step, Workers: first.Workers,
+				Tickets: map[string]string{"w00": "t", "w01": "t"}, ValidForMS: 1500})
+			r.advance(searchIntervalMS)
+			assert.Equal(t, len(r.starts), 0)
+			r.allow = func(string, string) bool { return true }
+			if !absent {
+				r.workers["w02"].incarnation++
+			}
+			r.s.SetWorkers(r.infos)
+			for range 5 {
+				r.advance(searchIntervalMS)
+			}
+			assert.Equal(t, len(r.starts), 3)
+		})
+	}
+}
+
+// A call whose caller leaves is not answered. The workers that it names must be asked about
+// again; otherwise the step never starts.
+func TestWorkersOfAnUnansweredCallAreAskedAboutAgain(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.allow = func(string, string) bool { return true }
+	infos := slices.Clone(r.infos)
+	for _, id := range []string{"w01", "w02"} {
+		r.workers[id] = &fakeWorker{}
+		infos = append(infos, WorkerInfo{ID: id, Service: "svc", Capacity: Resources{CPUMilli: 1000, MemoryMB: 1000}})
+	}
+	r.submit(gangOfThree(""))
+	r.allow = nil
+	r.infos = infos
+	r.s.SetWorkers(r.infos)
+	r.advance(searchIntervalMS)
+	last := r.permitRequests[len(r.permitRequests)-1]
+	assert.DeepEqual(t, slices.Sorted(slices.Values(last.Workers)), []string{"w01", "w02"})
+	r.s.SetCallers(slices.DeleteFunc([]string{"e1", "e2"}, func(name string) bool { return name == last.Caller }))
+	r.allow = func(string, string) bool { return true }
+	for range 5 {
+		r.advance(searchIntervalMS)
+	}
+	assert.Equal(t, len(r.starts), 3)
+}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -20,7 +20,6 @@
 			w = &worker{idHash: xxhash.Sum64String(info.ID), attempts: map[runKey]*attempt{}, life: newLife(0)}
 			s.workers[info.ID] = w
 			delete(s.dropped, info.ID)
-			s.newWorkerAt = s.now + 1
 			switch u := s.unreconciled[info.ID]; {
 			case u == nil:
 				w.rosterSeq = unwritten
@@ -36,6 +35,9 @@
 		if info.Draining && !w.Draining {
 			s.emit(LogEvent{Event: EventWorkerDraining, Worker: info.ID, AgeMS: info.LeavesInMS})
 		}
+		if !w.registered || !w.suitsLike(&info) {
+			s.workersVersion++
+		}
 		news := info.LeavesInMS != w.LeavesInMS
 		w.WorkerInfo = info
 		w.registered = true
@@ -170,6 +172,7 @@
 func (s *Scheduler) beginLife(w *worker, incarnation int64) {
 	s.forgetUnknownRuns(w)
 	w.life = newLife(incarnation)
+	s.workersVersion++
 	delete(s.unstored, w)
 	s.freed = append(s.freed, w)
 }
--- a/internal/cell/permits.go
+++ b/internal/cell/permits.go
@@ -9,15 +9,27 @@
 // permits is what the policy service has answered for a step. The set of workers that
 // may run the step does not change; each permit expires and can be renewed.
 type permits struct {
-	answered   bool               // at least one call was answered
-	unused     bool               // no placement was tried since the last answer
-	allAskedAt Instant            // when the step last asked about all workers known at that time
-	nextWiden  Instant            // when the step may next search for unasked workers with free capacity
-	asked      map[string]bool    // workers named in answered calls
+	answered  bool    // at least one call was answered
+	unused    bool    // no placement was tried since the last answer
+	nextWiden Instant // when the step may next search for unasked workers with free capacity
+	// asked holds the workers named in answered calls, by ID, with their incarnation at the
+	// time of the newest answer.
+	asked map[string]int64
+	// allAskedIn is the Scheduler.workersVersion in which the step last found no worker that
+	// it has not asked about.
+	allAskedIn uint64
 	allowed    map[string]*permit // by worker ID
 	calls      int                // that are in flight or wait for a caller
 }
 
+// hasAnswer reports whether the policy service has answered whether the step may run on the
+// worker. A refusal counts for one incarnation only, because the next one may be of another
+// kind. An allowed worker stays allowed; its permit is renewed.
+func (p *permits) hasAnswer(w *worker) bool {
+	incarnation, asked := p.asked[w.ID]
+	return asked && (incarnation == w.incarnation || p.allowed[w.ID] != nil)
+}
+
 // permitCall is a call to the policy service for a step.
 type permitCall struct {
 	step    *step
@@ -136,7 +148,6 @@
 		return
 	}
 	if p.Failed {
-		st.permits.allAskedAt = 0
 		s.emit(LogEvent{Event: EventPermitsFailed, Failed: true, Job: st.job.ID, Task: p.Step, Worker: p.Caller, AgeMS: int64(took)})
 		return
 	}
@@ -144,13 +155,16 @@
 		Detail: fmt.Sprintf("%d/%d", len(p.Tickets), len(p.Workers)), AgeMS: int64(took)})
 	if st.permits.allowed == nil {
 		st.permits.allowed = map[string]*permit{}
-		st.permits.asked = map[string]bool{}
+		st.permits.asked = map[string]int64{}
 	}
 	s.updateAllowedShare(st, len(p.Tickets), len(p.Workers))
 	st.permits.answered, st.permits.unused = true, true
 	st.nextSearch = 0
 	for _, id := range p.Workers {
-		st.permits.asked[id] = true
+		// What the service answers about a worker that has left may not hold once it is back.
+		if w := s.workers[id]; w != nil && w.registered {
+			st.permits.asked[id] = w.incarnation
+		}
 	}
 	for id, ticket := range p.Tickets {
 		incarnation := int64(0)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -281,15 +281,15 @@
 	nextCheck        Instant // when runs are checked next
 	nextComparison   Instant // when speeds are compared next
 	rotation         int     // position in the queue after which a pass tries rotatingTries steps
-	// newWorkerAt is 1 ms after a worker was last added, so that a step that asked about
-	// all workers in the same ms asks about the new one too.
-	newWorkerAt   Instant
-	lost          map[string]*lostRuns // runs of workers that have stopped answering, by worker ID
-	trials        []*attempt           // runs of suspected tasks
-	callQueue     []*permitCall        // waiting for a caller
-	queuedCalls   map[bool]int         // number of calls in callQueue by permitCall.isLong
-	endedJobs     []*job               // in order of their end
-	scheduledJobs []*job               // jobs with future occurrences
+	// workersVersion changes whenever a worker may have become suitable for a step or begins
+	// another life. What a step has concluded from all workers holds for one version only.
+	workersVersion uint64
+	lost           map[string]*lostRuns // runs of workers that have stopped answering, by worker ID
+	trials         []*attempt           // runs of suspected tasks
+	callQueue      []*permitCall        // waiting for a caller
+	queuedCalls    map[bool]int         // number of calls in callQueue by permitCall.isLong
+	endedJobs      []*job               // in order of their end
+	scheduledJobs  []*job               // jobs with future occurrences
 }
 
 // New returns a Scheduler without jobs and workers.
--- a/internal/cell/waits.go
+++ b/internal/cell/waits.go
@@ -61,7 +61,7 @@
 		{name: "registered", passes: func(w *worker) bool { return w.Service == st.job.Queue.Service && w.registered }, fits: empty},
 		{name: "label", passes: func(w *worker) bool { return w.hasLabel(st.def.Label) }, fits: empty},
 		{name: "usable", passes: func(w *worker) bool { return s.isEligible(st, w) }, fits: empty},
-		{name: "asked", passes: func(w *worker) bool { return st.job.Queue.Policy == nil || st.permits.asked[w.ID] }, fits: empty},
+		{name: "asked", passes: func(w *worker) bool { return st.job.Queue.Policy == nil || st.permits.hasAnswer(w) }, fits: empty},
 		{name: "allowed", passes: st.isAllowed, fits: empty},
 		{name: "not_avoided", passes: func(w *worker) bool { return !slices.Contains(avoided, w.ID) }, fits: empty},
 		{name: "free", passes: always, fits: free},
