Count only present workers in the limits on permit requests

Callers saw all tasks of a service stay down with every worker free (LOST), once some 100 workers had been replaced.

Cause: a step asks about further workers while fewer than 8 are allowed or fewer than 100 have been asked about, and both counted workers that had left.

Change: the limits count the workers that suit the step at present, by the same condition that selects the workers to ask about. Answers about removed workers are dropped once there are more answers than workers.

Ruled out: the restart delays of services (at most 4 s each).

--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,7 +26,7 @@
 	case st.permits.allAskedIn != s.workersVersion && s.needsMoreWorkers(st) && s.requestUnasked(st):
 	case s.mayRenew(st) && fitsWithoutPermit:
 		s.requestPermits(st, s.workersToRenew(st))
-	case s.mayRenew(st) && !st.def.Gang && len(st.permits.asked) < maxCallWorkers && s.now >= st.permits.nextWiden:
+	case s.mayRenew(st) && !st.def.Gang && s.now >= st.permits.nextWiden && s.countSuitable(st, maps.Keys(st.permits.asked)) < maxAskedWorkers:
 		st.permits.nextWiden = s.now + widenIntervalMS
 		s.requestPermits(st, s.unaskedWithCapacity(st))
 	}
@@ -188,7 +190,7 @@
 // they were empty.
 func (s *Scheduler) needsMoreWorkers(st *step) bool {
 	if !st.def.Gang {
-		return len(st.permits.allowed) < minAllowedWorkers
+		return s.countSuitable(st, maps.Keys(st.permits.allowed)) < minAllowedWorkers
 	}
 	factor, fits := gangCapacityFactor, 0
 	if s.mostCallersIdle() {
@@ -202,6 +204,27 @@
 	return fits < factor*len(st.tasks)
 }
 
+// countSuitable returns how many of the workers suit the step at present.
+func (s *Scheduler) countSuitable(st *step, ids iter.Seq[string]) int {
+	n := 0
+	for id := range ids {
+		if w := s.workers[id]; w != nil && st.suits(w) {
+			n++
+		}
+	}
+	return n
+}
+
+// maxAskedWorkers is the number of workers up to which a step that is no gang asks about more
+// while the allowed ones have no free capacity.
+const maxAskedWorkers = maxCallWorkers
+
+// suits reports whether the step may ask about the worker: it is registered, does not drain
+// and could run a task of the step if it were empty.
+func (s *step) suits(w *worker) bool {
+	return w.registered && !w.Draining && w.Service == s.job.Queue.Service && w.hasLabel(s.def.Label) && w.Capacity.Covers(s.demand)
+}
+
 // unaskedWorker is a worker that a step has not asked about.
 type unaskedWorker struct {
 	id    string
@@ -228,8 +251,7 @@
 	var found []unaskedWorker
 	seed := xxhash.Sum64String(st.name())
 	for id, w := range s.workers {
-		if w.registered && !w.Draining && w.Service == st.job.Queue.Service && w.hasLabel(st.def.Label) &&
-			w.Capacity.Covers(st.demand) && !st.permits.hasAnswer(w) {
+		if st.suits(w) && !st.permits.hasAnswer(w) {
 			fits := w.free().FitCount(st.demand, len(st.tasks))
 			if fits >= minFits {
 				found = append(found, unaskedWorker{id, fits, (w.idHash ^ seed) * fibonacciMultiplier})
--- a/internal/cell/asked_test.go
+++ b/internal/cell/asked_test.go
@@ -106,3 +106,53 @@
 	}
 	assert.Equal(t, len(r.starts), 3)
 }
+
+// replaceWorker has a worker leave with all that it runs, and another one join.
+func (r *rig) replaceWorker(i int, newID string) {
+	old := r.infos[i].ID
+	r.infos[i].ID = newID
+	r.workers[newID] = &fakeWorker{}
+	r.s.SetWorkers(r.infos)
+	r.s.LeaseExpired(old)
+	delete(r.workers, old)
+}
+
+// A service whose workers have all been replaced many times must still ask about the present
+// ones. When those that had left counted, it stopped after 100 workers and was not restarted.
+func TestServiceAsksAboutReplacedWorkers(t *testing.T) {
+	r := newRig(t, 12, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.allow = func(_, worker string) bool { return worker[len(worker)-1]%2 == 0 }
+	r.submit(Job{ID: jobID(1), Queue: permitQueue(), Steps: []Step{{Tasks: 4, Resources: Resources{CPUMilli: 900}, LongRunning: true}}})
+	st := r.s.stepByName(jobID(1) + ".0.0")
+	for n := range 1000 {
+		r.replaceWorker(n%len(r.infos), fmt.Sprintf("n%04d", n))
+		r.advance(widenIntervalMS)
+		assert.Assert(t, len(st.permits.asked) <= 2*len(r.infos), "after %d workers, answers about %d are kept", n, len(st.permits.asked))
+		assert.Assert(t, len(st.permits.allowed) <= 2*len(r.infos))
+	}
+	for range 100 {
+		r.advance(widenIntervalMS)
+	}
+	for _, task := range st.tasks {
+		assert.Equal(t, len(task.attempts), 1, "task %d is not running", task.index)
+	}
+}
+
+// A step asks about further workers while few of those that it may use are left, however many
+// it may have used before.
+func TestStepAsksAgainWhenAllowedWorkersHaveLeft(t *testing.T) {
+	r := newRig(t, 10, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.allow = func(string, string) bool { return true }
+	r.submit(Job{ID: jobID(1), Queue: permitQueue(), Steps: []Step{{Tasks: 10, Resources: Resources{CPUMilli: 900}, EstimateMS: 60000}}})
+	assert.Equal(t, len(r.starts), 10)
+	for range 12 { // more than one call can name
+		for i := range r.infos {
+			r.replaceWorker(i, "x"+r.infos[i].ID)
+		}
+		r.starts = nil
+		for range 5 {
+			r.advance(widenIntervalMS)
+		}
+		assert.Equal(t, len(r.starts), 10)
+	}
+}
--- a/internal/cell/permits.go
+++ b/internal/cell/permits.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -173,6 +174,17 @@
 		}
 		st.permits.allowed[id] = &permit{ticket: ticket, incarnation: incarnation, expires: s.now + Instant(p.ValidForMS)}
 	}
+	s.forgetRemoved(&st.permits)
+}
+
+// forgetRemoved drops the answers about workers that have been removed, once there are more
+// answers than workers. The workers of a service that lasts are replaced many times.
+func (s *Scheduler) forgetRemoved(p *permits) {
+	if max(len(p.asked), len(p.allowed)) <= len(s.workers) {
+		return
+	}
+	maps.DeleteFunc(p.asked, func(id string, _ int64) bool { return s.workers[id] == nil })
+	maps.DeleteFunc(p.allowed, func(id string, _ *permit) bool { return s.workers[id] == nil })
 }
 
 func (s *Scheduler) stepByName(name string) *step {
