Divide the progress of a job into records of bounded size

Callers saw cancels unanswered and new jobs refused (Acks) after one job with 40,000 due occurrences had been accepted, with a calm log.

Cause, of two: all progress of a job was one record, with an entry for each occurrence that has begun or is completed. It outgrew the 256 KiB that the log accepts; the log rejected the append with all records behind it.

Change: the progress is divided into parts of consecutive tasks, each with a record of 64 KiB at most. Changed parts are written only. Parts in which all occurrences are completed are dropped, and the set of completed occurrences holds ranges. Progress that an earlier version stored in one record is divided when it is restored, with the old record replaced last.

The same record grew with wide steps and their failed runs; the parts cover these too. Ruled out: a limit on occurrences (a job that runs in time gets to the same record).

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -115,7 +115,7 @@
 			c.early++
 		}
 		a.task.openCrashes = append(a.task.openCrashes, openCrash{Run: a.run, Early: early})
-		s.markDirty(a.task.step.job)
+		s.markDirty(a.task.step, a.task.index)
 		l.runs = append(l.runs, lostRun{task: a.task, run: a.run, recent: recent, early: early})
 	}
 	for i := range l.runs {
@@ -151,7 +151,7 @@
 	if r.recent && c.early == 0 {
 		s.setSuspected(r.task, false)
 	}
-	s.markDirty(r.task.step.job)
+	s.markDirty(r.task.step, r.task.index)
 }
 
 // confirmCrash is called when a worker has crashed. It gives up the tasks that have caused
@@ -165,7 +165,7 @@
 	explained := false
 	for _, r := range l.runs {
 		if r.task.closeCrash(r.run) {
-			s.markDirty(r.task.step.job)
+			s.markDirty(r.task.step, r.task.index)
 		}
 		c, id := r.task.crashes, r.task.id()
 		if !r.early || c.early == 0 || r.task.isOver() {
@@ -239,10 +239,13 @@
 		if c.Index >= len(st.tasks) || st.tasks[c.Index].done {
 			continue
 		}
-		st.tasks[c.Index].crashes = crashes{total: c.Total, early: c.Early, suspected: c.Suspected}
-		if c.Suspected {
+		t := st.tasks[c.Index]
+		if c.Suspected && !t.crashes.suspected {
 			st.suspects++
+		} else if !c.Suspected && t.crashes.suspected {
+			st.suspects--
 		}
+		t.crashes = crashes{total: c.Total, early: c.Early, suspected: c.Suspected}
 	}
 }
 
@@ -273,7 +276,7 @@
 	} else if t.step.suspects--; t.step.suspects == 0 {
 		t.step.otherTried = false
 	}
-	s.markDirty(t.step.job)
+	s.markDirty(t.step, t.index)
 	s.enqueue(t.step)
 }
 
--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -81,12 +81,11 @@
 	s.clearSuspicion(t)
 	s.waitingStale = true
 	t.step.done++
-	t.step.started = true
-	t.step.job.started = true
+	s.markStarted(t.step)
 	for _, other := range t.attempts {
 		s.stop(other, "copy_done")
 	}
-	s.markDirty(t.step.job)
+	s.markDirty(t.step, t.index)
 	if t.step.complete() {
 		s.stepDone(t.step)
 	}
@@ -100,12 +99,11 @@
 	for _, t := range st.tasks {
 		t.done = true
 		s.clearSuspicion(t)
+		s.markDirty(st, t.index)
 	}
 	st.done = len(st.tasks)
 	s.waitingStale = true
-	st.started = true
-	st.job.started = true
-	s.markDirty(st.job)
+	s.markStarted(st)
 	s.stepDone(st)
 }
 
@@ -120,9 +118,10 @@
 	}
 	j := o.job
 	if j.Schedule != nil {
-		j.finished[o.number] = true
+		j.finished.add(o.number)
+		j.markOccurrence(o.number)
 		delete(j.occurrences, o.number)
-		if len(j.finished) < j.Schedule.Occurrences {
+		if j.finished.count < j.Schedule.Occurrences {
 			return
 		}
 	}
@@ -155,7 +154,11 @@
 	st := t.step
 	if !st.def.LongRunning {
 		*failed = append(*failed, e.Run)
-		s.markDirty(st.job)
+		if st.def.Gang {
+			s.markDirty(st, 0) // whose part holds the failed runs of the gang
+		} else {
+			s.markDirty(st, t.index)
+		}
 		if !slices.Contains(st.failedOn, w.ID) {
 			st.failedOn = append(st.failedOn, w.ID)
 		}
@@ -194,50 +197,15 @@
 	t.step.checkpoint = value
 }
 
-func (s *Scheduler) markDirty(j *job) {
-	if !j.dirty && j.final == "" {
-		j.dirty = true
-		s.dirty = append(s.dirty, j)
-	}
-}
-
-// writeProgress persists the progress of jobs that changed.
-func (s *Scheduler) writeProgress() {
-	for _, j := range s.dirty {
-		if j.dirty {
-			j.dirty = false
-			j.recordSeq = s.persist(j.ID+progressSuffix, encode(j.progress()))
-		}
-	}
-	s.dirty = s.dirty[:0]
-	for _, e := range s.newEnds {
-		e.seq = e.job.recordSeq
-	}
-	s.newEnds = s.newEnds[:0]
-}
-
-// progress returns the progress record of the job.
-func (j *job) progress() progressRecord {
-	var r progressRecord
-	for number := range j.finished {
-		r.Finished = append(r.Finished, number)
-	}
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			if p, nonEmpty := st.progress(); nonEmpty {
-				r.Steps = append(r.Steps, p)
-			}
-		}
-	}
-	return r
-}
-
-func (s *step) progress() (p stepProgress, nonEmpty bool) {
-	p = stepProgress{Occurrence: s.occ.number, Step: s.index, Started: s.started}
-	if len(s.failed) > 0 {
+// progress returns the progress of the tasks from from to before to, and whether there is any.
+// That of the step itself belongs to its first task.
+func (s *step) progress(from, to int) (p stepProgress, nonEmpty bool) {
+	tasks := s.tasks[from:to]
+	p = stepProgress{Occurrence: s.occ.number, Step: s.index, Started: s.started && from == 0}
+	if len(s.failed) > 0 && from == 0 {
 		p.Failed = append(p.Failed, taskFailures{Index: 0, Runs: s.failed})
 	}
-	for _, t := range s.tasks {
+	for _, t := range tasks {
 		if t.done {
 			p.Done = append(p.Done, t.index)
 		}
@@ -245,7 +213,7 @@
 			p.Failed = append(p.Failed, taskFailures{Index: t.index, Runs: t.failed})
 		}
 	}
-	for _, t := range s.tasks {
+	for _, t := range tasks {
 		if c := t.crashes; c != (crashes{}) && !t.done {
 			p.Crashes = append(p.Crashes, taskCrashes{Index: t.index, Total: c.total, Early: c.early, Suspected: c.suspected})
 		}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -245,7 +245,7 @@
 	if j == nil || j.final != "" || !j.restored || j.Schedule == nil || id.Occurrence < 0 || id.Occurrence >= j.Schedule.Occurrences {
 		return
 	}
-	if !j.finished[id.Occurrence] && j.occurrences[id.Occurrence] == nil {
+	if !j.finished.has(id.Occurrence) && j.occurrences[id.Occurrence] == nil {
 		s.openOccurrence(j, id.Occurrence, j.occurrenceDue(s, id.Occurrence))
 	}
 }
@@ -334,11 +334,15 @@
 	if !a.resumed {
 		a.progress = progress{at: s.now, firstAt: s.now}
 	}
-	st := a.task.step
+	s.markStarted(a.task.step)
+}
+
+// markStarted records that a task of the step has run.
+func (s *Scheduler) markStarted(st *step) {
 	st.job.started = true
 	if !st.started {
 		st.started = true
-		s.markDirty(st.job)
+		s.markDirty(st, 0)
 	}
 }
 
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -1,15 +1,13 @@
 package cell
 
 import (
-	"strings"
-
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 	"github.com/fxamacker/cbor/v2"
 )
 
 // Keys of the records of a cell; only the newest record of a key is valid. A job has a
 // record under its ID, which holds the whole job until it ends and only its final state
-// afterwards. Its progress has a separate key, because it is written often and the job
+// afterwards. Its progress has separate keys, because it is written often and the job
 // is large.
 const (
 	progressSuffix = ".progress"
@@ -27,11 +25,15 @@
 	Unsubmitted bool `cbor:"5,keyasint,omitempty"`
 }
 
-// progressRecord is the progress of a job that has not ended.
+// progressRecord is a part of the progress of a job that has not ended.
 type progressRecord struct {
 	Steps []stepProgress `cbor:"1,keyasint"`
-	// Finished lists the numbers of the completed occurrences of a repeated job.
+	// Finished lists the numbers of the completed occurrences of a repeated job whose first
+	// task is in this part.
 	Finished []int `cbor:"2,keyasint,omitempty"`
+	// FinishedBelow is the number of the first occurrence that is not completed. It is in
+	// part 0 only, for which Finished begins there.
+	FinishedBelow int `cbor:"3,keyasint,omitempty"`
 }
 
 type stepProgress struct {
@@ -124,8 +126,3 @@
 	}
 	return nil
 }
-
-func isProgress(key string) bool { return strings.HasSuffix(key, progressSuffix) }
-
-// jobID returns the ID of the job whose progress the record holds.
-func (r Record) jobID() string { return strings.TrimSuffix(r.Key, progressSuffix) }
--- a/internal/cell/restore_test.go
+++ b/internal/cell/restore_test.go
@@ -127,6 +127,6 @@
 		r.advance(10)
 		r.advance(2000)
 		assert.Equal(t, len(r.starts), 1, "ended before the takeover: %t", ended)
-		assert.Assert(t, r.s.jobs[jobID(1)].finished[0])
+		assert.Assert(t, r.s.jobs[jobID(1)].finished.has(0))
 	}
 }
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -11,13 +11,18 @@
 	recordSeq   uint64  // of the newest record
 	ended       Instant // on this holder's clock, so that steps of the wall clock do not age it
 	accepted    Instant
-	unsubmitted bool // cancelled before it was submitted
-	started     bool // a task has run
-	restored    bool // read from the log by a new holder; its tasks may be running on any worker
-	dirty       bool // the progress must be written
-	occurrences map[int]*occurrence
-	finished    map[int]bool // completed occurrences of a repeated job
-	nextDue     int          // number of the occurrence that becomes due next
+	unsubmitted bool  // cancelled before it was submitted
+	started     bool  // a task has run
+	restored    bool  // read from the log by a new holder; its tasks may be running on any worker
+	offsets     []int // by step, see stepOffsets
+	dirty       bool  // the progress must be written
+	// changedParts and storedParts are the parts of the progress that must be written, and
+	// those that have a record.
+	changedParts map[int]bool
+	storedParts  map[int]bool
+	occurrences  map[int]*occurrence
+	finished     numberSet // completed occurrences of a repeated job
+	nextDue      int       // number of the occurrence that becomes due next
 }
 
 // occurrence is one execution of the steps of a job. A job without a schedule has a
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -94,7 +94,7 @@
 func (s *Scheduler) HasJob(id string) bool { return s.jobs[id] != nil }
 
 func (s *Scheduler) addJob(spec *Job) *job {
-	j := &job{Job: spec, accepted: s.now, occurrences: map[int]*occurrence{}, finished: map[int]bool{}}
+	j := &job{Job: spec, accepted: s.now, offsets: stepOffsets(spec.Steps), occurrences: map[int]*occurrence{}}
 	s.jobs[spec.ID] = j
 	return j
 }
@@ -134,7 +134,7 @@
 		if overdueMS < 0 {
 			return
 		}
-		if !j.finished[j.nextDue] && j.occurrences[j.nextDue] == nil {
+		if !j.finished.has(j.nextDue) && j.occurrences[j.nextDue] == nil {
 			s.openOccurrence(j, j.nextDue, s.now-Instant(overdueMS))
 		}
 	}
@@ -256,7 +256,7 @@
 	s.end(j, final)
 	// The drop of the progress comes last: without the progress and the final state, a new
 	// holder would run tasks again that are done.
-	s.persist(j.ID+progressSuffix, nil)
+	s.dropParts(j)
 	s.emit(LogEvent{Event: endEvents[final], Failed: final == Failed, Job: j.ID, Detail: j.Queue.Name, AgeMS: int64(s.now - j.accepted)})
 	if final == Completed {
 		return // all runs have ended, or were stopped when another attempt ended first
