Discard records that the log does not accept instead of repeating them

Callers saw nothing of a whole cell stored any more (Acks) once one record had outgrown the limit of the log: cancels were not answered, new jobs refused.

Cause, the second of two: the client of the log took 400, 413 and every other status that it did not list for a missing answer, and an unanswered append is repeated before all others.

The writer appends the batch in halves until it has found the record at fault and goes on without it, logs its key and size, and a new job is refused as invalid. Nothing is discarded while the log refuses empty appends too.

Ruled out: another lane (the log rejects the record there too) and a new holder (it gets to the same record).

--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"fmt"
+
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 )
 
 // pendingAccept is a submitted job whose record is not stored yet.
@@ -52,3 +55,18 @@
 	clear(h.pendingAccepts[len(kept):])
 	h.pendingAccepts = kept
 }
+
+// onDiscarded refuses the job whose record the log does not accept.
+func (h *holder) onDiscarded(s *cell.Scheduler, p cell.Persist) {
+	s.Discarded(p.Seq, p.Key)
+	kept := h.pendingAccepts[:0]
+	for _, a := range h.pendingAccepts {
+		if a.seq == p.Seq && !s.HasJob(a.id) {
+			a.reply(fault.New(fault.Invalid, fmt.Sprintf("the log does not accept the job's record of %d bytes", len(p.Value)), "send a smaller job"))
+		} else {
+			kept = append(kept, a)
+		}
+	}
+	clear(h.pendingAccepts[len(kept):])
+	h.pendingAccepts = kept
+}
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -28,6 +28,9 @@
 	loseResponses bool
 	// delay is the duration of each call.
 	delay time.Duration
+	// maxRecordBytes and maxAppendBytes limit a record's value and those of an append; 0 for
+	// no limit.
+	maxRecordBytes, maxAppendBytes int
 	// outages holds the outage of each partition, by name.
 	outages map[string]outage
 }
@@ -110,6 +113,10 @@
 		loseResponses = true
 	}
 	end, err := int64(0), error(nil)
+	if !down && !l.accepts(a) {
+		l.mu.Unlock()
+		return 0, &AppendError{Failure: AppendInvalid}
+	}
 	if !down {
 		end, err = l.partition(a.Topic, a.Partition).append(a)
 	}
@@ -121,6 +128,18 @@
 	return end, err
 }
 
+// accepts reports whether the append is within the limits.
+func (l *fakeLog) accepts(a Append) bool {
+	sum := 0
+	for _, r := range a.Records {
+		if l.maxRecordBytes > 0 && len(r.Value) > l.maxRecordBytes {
+			return false
+		}
+		sum += len(r.Value)
+	}
+	return l.maxAppendBytes == 0 || sum <= l.maxAppendBytes
+}
+
 func (p *fakePartition) append(a Append) (int64, error) {
 	if a.ExpectedEnd != nil && *a.ExpectedEnd != p.end {
 		return 0, &AppendError{Failure: AppendEndMismatch, End: p.end}
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -116,6 +116,7 @@
 	h.writer.claimsRespond = h.claimsRespond
 	h.writer.renewClaim = h.renewNow
 	h.writer.onFenced = func() { h.endTerm("records_fenced") }
+	h.writer.onDiscarded = func(p cell.Persist) { h.post(func(s *cell.Scheduler) { h.onDiscarded(s, p) }) }
 	h.writer.onStored = func(seq uint64) { h.post(func(s *cell.Scheduler) { h.onStored(s, seq) }) }
 	return h
 }
--- a/internal/entry/lanes_test.go
+++ b/internal/entry/lanes_test.go
@@ -182,8 +182,8 @@
 		index.update(lane%2, cell.Record{Key: key, Value: withVersion(version{5, uint64(lane)}, []byte("old"))})
 	}
 	w.setIndex(index)
-	assert.Assert(t, w.write(t.Context(), []cell.Persist{{Seq: 1, Key: "a"}, {Seq: 2, Key: "b"}, {Seq: 3, Key: "b", Value: []byte("new")}}))
-	assert.Assert(t, w.write(t.Context(), []cell.Persist{{Seq: 4, Key: "a", Value: []byte("new")}}))
+	assert.Assert(t, w.store(t.Context(), []cell.Persist{{Seq: 1, Key: "a"}, {Seq: 2, Key: "b"}, {Seq: 3, Key: "b", Value: []byte("new")}}))
+	assert.Assert(t, w.store(t.Context(), []cell.Persist{{Seq: 4, Key: "a", Value: []byte("new")}}))
 	for range 3 {
 		for lane := range laneCount {
 			assert.NilError(t, w.sweepLane(t.Context(), lane))
@@ -204,10 +204,10 @@
 	w.lane = 1
 	batch := []cell.Persist{{Seq: 1, Key: "job", Value: []byte("completed")}, {Seq: 2, Key: "progress"}}
 	log.setOutage(laneTopic(1), 0, silent)
-	assert.Assert(t, !w.write(within(300*time.Millisecond), batch))
+	assert.Assert(t, !w.store(within(300*time.Millisecond), batch))
 	assert.Equal(t, len(w.sweepRecords(0)), 0, "dropped although the batch is not stored")
 	log.setOutage(laneTopic(1), 0, noOutage)
-	assert.Assert(t, w.write(within(2*time.Second), batch))
+	assert.Assert(t, w.store(within(2*time.Second), batch))
 	assert.Equal(t, w.sweepRecords(0)[0].Key, "progress")
 }
 
@@ -290,7 +290,7 @@
 	w := newRecordWriter(log, 0, 0, 1, zap.NewNop())
 	w.setIndex(laneIndex{})
 	write := func(seq uint64) bool {
-		return w.write(within(2*time.Second), []cell.Persist{{Seq: seq, Key: "k", Value: []byte{byte(seq)}}})
+		return w.store(within(2*time.Second), []cell.Persist{{Seq: seq, Key: "k", Value: []byte{byte(seq)}}})
 	}
 	assert.Assert(t, write(1))
 	w.streams[0].nextSequence = 7
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -60,6 +60,9 @@
 	AppendOutOfOrder
 	// AppendFull means that the append was not carried out because the log is full.
 	AppendFull
+	// AppendInvalid means that the append was not carried out because the log does not accept
+	// its content. The same append is never carried out.
+	AppendInvalid
 )
 
 // AppendError is the error of a failed append.
@@ -72,7 +75,7 @@
 
 // Error returns the reason and the cause, if any.
 func (e *AppendError) Error() string {
-	text := [...]string{"append was not answered", "append was refused", "partition does not end at the expected offset", "writer is fenced", "append is out of sequence", "log is full"}[e.Failure]
+	text := [...]string{"append was not answered", "append was refused", "partition does not end at the expected offset", "writer is fenced", "append is out of sequence", "log is full", "log does not accept the append"}[e.Failure]
 	if e.Err != nil {
 		return fmt.Sprintf("%s: %v", text, e.Err)
 	}
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -54,7 +54,9 @@
 	epoch      int64
 	logger     *zap.Logger
 	onStored   func(seq uint64)
-	onFenced   func()
+	// onDiscarded is called, before onStored, with a record that the log does not accept.
+	onDiscarded func(p cell.Persist)
+	onFenced    func()
 	// onConfirmed is called when an append has succeeded, with its send time since
 	// boot.
 	onConfirmed func(sent time.Duration)
@@ -95,6 +97,7 @@
 func newRecordWriter(log Log, index, partitions int, epoch int64, logger *zap.Logger) *recordWriter {
 	w := &recordWriter{
 		log: log, cell: index, partitions: partitions, epoch: epoch, logger: logger, wake: make(chan struct{}, 1),
+		onDiscarded: func(cell.Persist) {},
 		onConfirmed: func(time.Duration) {}, claimsRespond: func(time.Duration) bool { return false }, renewClaim: func() {},
 		running: new(runClock), outstandingSince: -1,
 		open: firstLane, sweep: map[string]bool{}, openChanged: make(chan struct{}),
@@ -137,6 +140,12 @@
 	return errors.As(err, &a) && a.Failure == AppendFenced
 }
 
+// isInvalid reports whether the log does not accept the content of an append.
+func isInvalid(err error) bool {
+	var a *AppendError
+	return errors.As(err, &a) && a.Failure == AppendInvalid
+}
+
 // expectedSequence returns the sequence number that the log expects, if an append
 // failed because its sequence number was wrong.
 func expectedSequence(err error) (expected int64, outOfOrder bool) {
@@ -211,9 +220,10 @@
 		if batch == nil {
 			return
 		}
-		if !w.write(ctx, batch) {
+		if !w.store(ctx, batch) {
 			return
 		}
+		w.endBatch()
 		w.onStored(batch[len(batch)-1].Seq)
 		if !clock.Sleep(ctx, appendDelay) {
 			return
@@ -246,8 +256,42 @@
 	}
 }
 
-// write appends a batch and reports whether the writer can continue.
-func (w *recordWriter) write(ctx context.Context, batch []cell.Persist) bool {
+// store appends a batch and reports whether the writer can continue. A batch that the log does
+// not accept is appended in halves, so that only the records at fault are left out.
+func (w *recordWriter) store(ctx context.Context, batch []cell.Persist) bool {
+	switch w.write(ctx, batch) {
+	case batchStored:
+		return true
+	case batchInvalid:
+		if len(batch) == 1 {
+			w.discard(batch[0])
+			return true
+		}
+		half := len(batch) / 2
+		return w.store(ctx, batch[:half]) && w.store(ctx, batch[half:])
+	default:
+		return false
+	}
+}
+
+// discard leaves out a record that the log does not accept. To repeat it would keep all later
+// records of the cell from being stored.
+func (w *recordWriter) discard(p cell.Persist) {
+	w.logger.Error("record_discarded", zap.Int("cell", w.cell), zap.String("key", p.Key), zap.Int("bytes", len(p.Key)+len(p.Value)+versionBytes), zap.Uint64("seq", p.Seq))
+	w.onDiscarded(p)
+}
+
+// batchResult is the result of recordWriter.write.
+type batchResult int
+
+const (
+	batchNotStored batchResult = iota // the writer is fenced or its term has ended
+	batchStored
+	batchInvalid // the log accepts other appends, but not the content of this one
+)
+
+// write appends a batch, and repeats that until its result is known.
+func (w *recordWriter) write(ctx context.Context, batch []cell.Persist) batchResult {
 	start := clock.SinceBoot()
 	for attempt := 1; ; attempt++ {
 		lane, records, drops := w.prepare(batch)
@@ -258,24 +302,36 @@
 			if attempt > 1 {
 				w.logger.Info("log_regained", zap.Int("cell", w.cell), zap.Int("lane", lane), zap.Duration("after", w.silentFor()))
 			}
-			w.endBatch()
-			return true
+			return batchStored
 		case isFenced(err):
 			w.onFenced()
-			return false
+			return batchNotStored
 		case ctx.Err() != nil:
-			return false
+			return batchNotStored
+		case isInvalid(err) && w.accepts(ctx, lane):
+			w.logger.Warn("batch_not_accepted", zap.Int("cell", w.cell), zap.Int("lane", lane), zap.Int("records", len(batch)), zap.Error(err))
+			return batchInvalid
 		}
 		if attempt == 1 {
 			w.logger.Warn("log_lost", zap.Int("cell", w.cell), zap.Int("lane", lane), zap.Int("records", len(batch)), zap.Error(err))
 			w.renewClaim() // whether the renewal is answered shows if only the lane is down
 		}
 		if (!w.claimsRespond(start) || !w.changeLane(ctx)) && !clock.Sleep(ctx, retryDelay) {
-			return false
+			return batchNotStored
 		}
 	}
 }
 
+// accepts reports whether the log carries out an empty append to a lane, which shows that it
+// does not refuse every call.
+func (w *recordWriter) accepts(ctx context.Context, lane int) bool {
+	err := w.append(ctx, lane, nil, 0)
+	if err != nil {
+		w.logger.Warn("log_accepts_no_append", zap.Int("cell", w.cell), zap.Int("lane", lane), zap.Error(err))
+	}
+	return err == nil
+}
+
 // appendTo appends records to a lane, after repeating an append without a response.
 func (w *recordWriter) appendTo(ctx context.Context, lane int, records []cell.Record) error {
 	s := &w.streams[lane]
@@ -289,13 +345,20 @@
 	s := &w.streams[lane]
 	if s.unanswered != nil {
 		repeat := sameRecords(s.unanswered, records)
-		if err := w.appendSentAt(ctx, lane, s.unanswered, s.nextSequence, s.sentAt); err != nil {
+		switch err := w.appendSentAt(ctx, lane, s.unanswered, s.nextSequence, s.sentAt); {
+		case isInvalid(err):
+			s.unanswered = nil // no call of it was carried out
+			if repeat {
+				return err
+			}
+		case err != nil:
 			return err
-		}
-		w.indexStored(lane, s.unanswered)
-		s.nextSequence, s.unanswered = s.nextSequence+1, nil
-		if repeat {
-			return nil
+		default:
+			w.indexStored(lane, s.unanswered)
+			s.nextSequence, s.unanswered = s.nextSequence+1, nil
+			if repeat {
+				return nil
+			}
 		}
 	}
 	if len(records) == 0 {
