Count no run of a service as gone when a gang is planned

Callers saw no small job start (LOST) after a gang that does not fit beside the tasks of a service had been accepted, with 9% of the CPU in use.

Cause: the plan of a gang took the estimated end of each run for the time at which its capacity becomes free. For a task of a service the estimate is its start-up time, so the gang seemed to fit at once and reserved nearly all capacity, in each pass.

Change: runs of services are never counted as gone. A gang that does not fit beside them has no plan and reserves nothing.

Ruled out: evacuation, which uses the same estimate (it treats services apart).

--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -215,7 +215,7 @@
 
 // planGang finds the earliest time at which the whole gang fits on the allowed workers,
 // based on the estimated ends of their runs. It returns the places to reserve, or nil
-// if the gang never fits.
+// if the gang does not fit beside the services that run there.
 func (s *Scheduler) planGang(st *step) []gangPlace {
 	var workers []*worker
 	times := []Instant{s.now}
@@ -226,7 +226,9 @@
 		}
 		workers = append(workers, w)
 		for _, a := range w.attempts {
-			times = append(times, max(a.freeAt(), s.now))
+			if a.endsByItself() {
+				times = append(times, max(a.freeAt(), s.now))
+			}
 		}
 	})
 	slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
@@ -283,11 +285,11 @@
 }
 
 // freeAt returns the free resources of the worker at time t if all runs end as
-// estimated.
+// estimated, other than those of services, which do not end.
 func (w *worker) freeAt(t Instant) Resources {
 	free := w.free()
 	for _, a := range w.attempts {
-		if a.freeAt() <= t {
+		if a.endsByItself() && a.freeAt() <= t {
 			free = free.AddScaled(a.demand, 1)
 		}
 	}
--- a/internal/cell/progress.go
+++ b/internal/cell/progress.go
@@ -84,6 +84,9 @@
 	}
 }
 
+// endsByItself reports whether the attempt ends without being stopped.
+func (a *attempt) endsByItself() bool { return !a.task.step.def.LongRunning }
+
 // freeAt returns when the resources of the attempt are estimated to become free.
 func (a *attempt) freeAt() Instant {
 	if a.task.step.def.Gang {
