Round the share of callers that long calls may use to the nearest number

Callers saw accepted gangs wait for 80 s and more (LOST) after five of eight VMs had left, with most of the CPU free.

Cause: calls of 300 ms and more may use 60% of the callers of the policy service, rounded down: one of three.

Change: the share is rounded to the nearest number, two of three.

TestLongCallsUseTheirShareOfFewCallers failed on the commit before.

--- a/internal/cell/permits.go
+++ b/internal/cell/permits.go
@@ -259,7 +259,7 @@
 			continue
 		}
 		name := s.freeCaller(st.name(), long)
-		if name == "" || long && s.longCalls() >= max(len(s.callers)*longCallPercent/100, 1) {
+		if name == "" || long && s.longCalls() >= s.maxLongCalls() {
 			// A short call may find all callers busy with other calls for its step only.
 			full[long] = long || s.freeCaller("", false) == ""
 			kept = append(kept, call)
@@ -281,6 +281,12 @@
 	longCallPercent = 60
 )
 
+// maxLongCalls returns the number of callers that long calls may use: their share, rounded to
+// the nearest number, and at least one. Rounded down, it would leave two of three callers idle.
+func (s *Scheduler) maxLongCalls() int {
+	return max((len(s.callers)*longCallPercent+50)/100, 1)
+}
+
 // isLong reports whether a call that names n workers is a long call.
 func (c *PolicyCost) isLong(n int) bool { return c != nil && c.Duration(n) >= longCallMS }
 
--- a/internal/cell/permits_test.go
+++ b/internal/cell/permits_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -159,6 +160,27 @@
 	assert.Assert(t, strings.HasPrefix(r.permitRequests[0].Step, quick.ID))
 }
 
+// Guards against callers that stay idle while long calls wait: their share of few callers was
+// rounded down, to one of three. Short calls must still find a caller.
+func TestLongCallsUseTheirShareOfFewCallers(t *testing.T) {
+	for callers, want := range map[int]int{1: 1, 2: 1, 3: 2, 4: 2, 5: 3, 8: 5, 9: 5, 33: 20} {
+		r := newRig(t, 4, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		var names []string
+		for n := range callers {
+			names = append(names, fmt.Sprintf("e%02d", n))
+		}
+		r.s.SetCallers(names)
+		slow := permitQueue()
+		slow.Policy = &PolicyCost{DecisionMS: 2 * longCallMS}
+		for n := range 2 * callers {
+			r.submit(Job{ID: fmt.Sprintf("%016x", n), Queue: slow, Steps: []Step{{Tasks: 1, EstimateMS: 1000}}})
+		}
+		assert.Equal(t, len(r.permitRequests), want, "%d callers", callers)
+		r.submit(Job{ID: fmt.Sprintf("%016x", 2*callers), Queue: permitQueue(), Steps: []Step{{Tasks: 1, EstimateMS: 1000}}})
+		assert.Equal(t, len(r.permitRequests), min(want+1, callers), "%d callers, a short call", callers)
+	}
+}
+
 // A wide gang finds room sooner with more allowed workers. While callers are idle, its
 // first request must name more workers than fit into one call; otherwise it must leave
 // the callers to other steps.
