Refuse jobs while the calls that accepted jobs wait for take too long

Callers saw accepted jobs that never ran (LOST 48 to 185) once six or seven of eight VMs had left for good.

Cause: one or two callers of the policy service make fewer calls than the jobs that arrive need, jobs went on being accepted, and calls for late steps come last, so these waited for as long as others arrived.

Change: the holder adds up the calls that accepted jobs wait for. Above 7 s a new job with a long call is refused with 503, above 10 s any job that needs a call, with the time by which the calls exceed that as Retry-After. Jobs that need no call, and jobs that were accepted before, are not affected.

TestAcceptedJobsStartWithFewCallers fails without the limit (50 of 120 jobs never start), TestJobsAreRefusedWhileManyCallsWait without the refusal.

--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -292,6 +292,7 @@
 	lost           map[string]*lostRuns // runs of workers that have stopped answering, by worker ID
 	trials         []*attempt           // runs of suspected tasks
 	callQueue      []*permitCall        // waiting for a caller
+	backlog        callBacklog          // of calls, as last computed
 	queuedCalls    map[bool]int         // number of calls in callQueue by permitCall.isLong
 	endedJobs      []*job               // in order of their end
 	scheduledJobs  []*job               // jobs with future occurrences
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -219,6 +219,8 @@
 	panicStart bool     // the next start panics
 	silent     bool     // renewals are neither carried out nor answered
 	renewals   int      // number of calls
+	// permitsTook is how long a call for permits takes.
+	permitsTook time.Duration
 	// stuckRenewal, if it is not nil, is closed to end the first renewal, which does not
 	// end by itself.
 	stuckRenewal chan struct{}
@@ -398,7 +400,8 @@
 }
 
 // Permits permits every worker.
-func (f *fakeFleet) Permits(_ context.Context, _ string, workers []string) (map[string]string, int64, error) {
+func (f *fakeFleet) Permits(ctx context.Context, _ string, workers []string) (map[string]string, int64, error) {
+	_ = clock.Sleep(ctx, f.permitsTook)
 	tickets := map[string]string{}
 	for _, id := range workers {
 		tickets[id] = "ticket"
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -95,10 +95,28 @@
 			h.whenProven(func() { reply(e) })
 			return
 		}
+		if overload := s.CallOverloadMS(job); !s.HasJob(job.ID) && overload > 0 {
+			e := errCallOverload(overload)
+			h.whenProven(func() { reply(e) })
+			return
+		}
 		h.accept(s, job, reply)
 	})
 }
 
+// errCallOverload returns the error for a job that would have to wait for too long until the
+// policy service can be asked about it. The retry delay is the time in which the calls that
+// are too many will have been made.
+func errCallOverload(overloadMS int64) error {
+	e := fault.New(fault.NoCapacity, fmt.Sprintf("the calls of the policy service for accepted jobs take %d ms too long", overloadMS), "send the job again after the retry delay")
+	e.RetryAfterMS = max(overloadMS, minOverloadRetryMS)
+	return e
+}
+
+// minOverloadRetryMS is the least retry delay for a job that is refused for waiting calls, in
+// ms. It is about the duration of one long call.
+const minOverloadRetryMS = 1000
+
 // errLogDown returns the error for a job that is refused because the log is silent.
 func (h *holder) errLogDown() error {
 	silent := max(h.writer.silentFor(), h.sinceConfirmed())
