Delay calls for a step that the policy service rejects instead of its callers

A step whose calls are never accepted kept all callers of the policy service from the other steps: each failure rested a caller for 1 s and was repeated through the next.

Change: a status 4xx other than 408 and 429 is a rejection. The caller goes on, and the step waits for a delay that doubles from 0.25 to 30 s.

Ruled out: failing the job (the service may not know a new step yet, and a queue may get its policy back).

TestRejectedCallsDoNotStopOtherSteps fails without the change: no other step starts.

--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -84,6 +84,7 @@
 	EventJobCancelled       Event = "job_cancelled"
 	EventPermitsGiven       Event = "permits_given"
 	EventPermitsFailed      Event = "permits_failed"
+	EventPermitsRejected    Event = "permits_rejected"
 	EventStepPlaced         Event = "step_placed"
 	EventStepPlacedLate     Event = "step_placed_late"
 	EventStepWaits          Event = "step_waits"
@@ -119,6 +120,7 @@
 	{EventJobCancelled, "the caller cancelled the job, or submitted a job that was cancelled before", "age of the job", "queue"},
 	{EventPermitsGiven, "the policy service answered a call for a step", "duration of the call", "workers allowed/named in the call; worker is the calling entry process"},
 	{EventPermitsFailed, "the policy service did not answer a call for a step; the step requests permits again", "duration of the call", "worker is the calling entry process"},
+	{EventPermitsRejected, "the policy service does not accept a call for a step; the step requests permits again after a delay that doubles from 0.25 to 30 s", "duration of the call", "worker is the calling entry process"},
 	{EventStepPlaced, "tasks of a step were placed", "wait since the step was ready", "queue, tasks placed/all"},
 	{EventStepPlacedLate, "tasks of a step were placed after the latest start for the job's objective", "wait since the step was ready", "queue, tasks placed/all"},
 	{EventStepWaits, "a step has waited for 10 s or more; the constraint that holds it, and for each check how many workers pass it and all earlier ones, and the tasks that they take", "wait since the step was ready", "constraint, tasks needed, workers/tasks of each check"},
--- a/internal/cell/admission.go
+++ b/internal/cell/admission.go
@@ -54,7 +54,7 @@
 		s.backlog.add(&call.step.job.Queue, len(call.workers))
 	}
 	for _, st := range s.waiting {
-		if st.awaitsFirstPermits() && !st.permits.pending() && st.job.final == "" {
+		if st.awaitsFirstPermits() && !st.permits.pending() && s.now >= st.permits.notBefore && st.job.final == "" {
 			s.backlog.add(&st.job.Queue, s.firstCallWorkers(st.def))
 		}
 	}
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -17,7 +17,7 @@
 // asks about workers that the step has not asked about yet, or else renews expired
 // permits of workers with enough free capacity.
 func (s *Scheduler) requestMorePermits(st *step, fitsWithoutPermit bool) {
-	if st.job.Queue.Policy == nil || st.permits.pending() {
+	if st.job.Queue.Policy == nil || st.permits.pending() || s.now < st.permits.notBefore {
 		return
 	}
 	switch {
--- a/internal/cell/asked_test.go
+++ b/internal/cell/asked_test.go
@@ -156,3 +156,46 @@
 		assert.Equal(t, len(r.starts), 10)
 	}
 }
+
+// Guards against a step whose calls the policy service never accepts, for example because its
+// queue has lost its policy: the repeats took the callers from all other steps.
+func TestRejectedCallsDoNotStopOtherSteps(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	job := func(n int) Job {
+		return Job{ID: jobID(n), Queue: permitQueue(), Steps: []Step{{Tasks: 1, Resources: Resources{CPUMilli: 100}, EstimateMS: 100}}}
+	}
+	r.submit(job(1))
+	rejected, answered := 0, 0
+	answer := func() {
+		for _, request := range r.permitRequests {
+			p := PermitResult{Caller: request.Caller, Step: request.Step, Workers: request.Workers, ValidForMS: 1500}
+			if p.Rejected = request.Step == jobID(1)+".0.0" && answered == 0; p.Rejected {
+				rejected++
+			} else {
+				p.Tickets = map[string]string{"w00": "t", "w01": "t"}
+			}
+			r.s.PermitsReceived(p)
+		}
+		r.permitRequests = nil
+		r.advance(10)
+	}
+	for n := range 10 {
+		for range 33 {
+			answer()
+		}
+		r.submit(job(2 + n))
+		answer()
+		assert.Equal(t, len(r.starts), 1, "a step with permits must start at once")
+		r.endAll(EndDone)
+		r.starts = nil
+	}
+	for range 10_000 {
+		answer()
+	}
+	assert.Assert(t, rejected < 15, "%d calls in 104 s", rejected)
+	answered++ // the service accepts the calls again
+	for range maxRejectedDelayMS/10 + 1 {
+		answer()
+	}
+	assert.Equal(t, r.state(jobID(1)), Running)
+}
--- a/internal/cell/permits.go
+++ b/internal/cell/permits.go
@@ -21,6 +21,24 @@
 	allAskedIn uint64
 	allowed    map[string]*permit // by worker ID
 	calls      int                // that are in flight or wait for a caller
+	// notBefore is when the step may make another call after rejected ones, and rejected their
+	// number since the last answer.
+	notBefore Instant
+	rejected  int
+}
+
+// The delay before another call for a step whose call the policy service has rejected, in ms.
+// It doubles with each further one. The service may not know a new step yet, but repeats of
+// a call that it never accepts would take the callers from all other steps.
+const (
+	minRejectedDelayMS = 250
+	maxRejectedDelayMS = 30_000
+)
+
+// reject records that the policy service has rejected a call for the step.
+func (p *permits) reject(now Instant) {
+	p.notBefore = now + Instant(min(minRejectedDelayMS<<min(p.rejected, 16), maxRejectedDelayMS))
+	p.rejected++
 }
 
 // hasAnswer reports whether the policy service has answered whether the step may run on the
@@ -121,7 +139,7 @@
 }
 
 // PermitResult is the result of a RequestPermits action. Failed is set if the policy
-// service did not answer.
+// service did not answer, Rejected if it does not accept the call.
 type PermitResult struct {
 	Caller     string
 	Step       string
@@ -129,6 +147,7 @@
 	Tickets    map[string]string
 	ValidForMS int64
 	Failed     bool
+	Rejected   bool
 }
 
 // PermitsReceived processes the result of a RequestPermits action.
@@ -148,6 +167,11 @@
 	if st == nil {
 		return
 	}
+	if p.Rejected {
+		st.permits.reject(s.now)
+		s.emit(LogEvent{Event: EventPermitsRejected, Failed: true, Job: st.job.ID, Task: p.Step, Worker: p.Caller, AgeMS: int64(took)})
+		return
+	}
 	if p.Failed {
 		s.emit(LogEvent{Event: EventPermitsFailed, Failed: true, Job: st.job.ID, Task: p.Step, Worker: p.Caller, AgeMS: int64(took)})
 		return
@@ -160,6 +184,7 @@
 	}
 	s.updateAllowedShare(st, len(p.Tickets), len(p.Workers))
 	st.permits.answered, st.permits.unused = true, true
+	st.permits.rejected = 0
 	st.nextSearch = 0
 	for _, id := range p.Workers {
 		// What the service answers about a worker that has left may not hold once it is back.
@@ -202,7 +227,7 @@
 // has a call queued or in flight. It returns the number of workers that the calls name:
 // there is one call, and more if they are needed and callers are idle.
 func (s *Scheduler) requestPermits(st *step, workers []string) (named int) {
-	if st.permits.pending() {
+	if st.permits.pending() || s.now < st.permits.notBefore {
 		return 0
 	}
 	left := workers
--- a/internal/entry/followers.go
+++ b/internal/entry/followers.go
@@ -114,7 +114,8 @@
 		err = cmp.Or(err, panicked)
 		h.post(func(s *cell.Scheduler) {
 			s.PermitsReceived(cell.PermitResult{Caller: a.Caller, Step: a.Step, Workers: a.Workers,
-				Tickets: reply.Tickets, ValidForMS: reply.ValidForMS, Failed: err != nil})
+				Tickets: reply.Tickets, ValidForMS: reply.ValidForMS, Rejected: fault.KindOf(err) == fault.Invalid,
+				Failed: err != nil && fault.KindOf(err) != fault.Invalid})
 		})
 	})
 }
