Open due occurrences of a job in turns and limit the open ones

Cause: all occurrences that are due were opened at once, with about 1 KB of memory for each.

Change: a repeated job has at most 10,000 open tasks, the oldest first, and a pass opens at most 256 of its occurrences. Completed occurrences are skipped by ranges.

Ruled out: refusing the job, as no limit on its occurrences is stated.

--- a/internal/cell/numbers.go
+++ b/internal/cell/numbers.go
@@ -45,10 +45,13 @@
 	s.ranges = slices.Replace(s.ranges, first, end, numberRange{from, to})
 }
 
-// firstMissing returns the lowest number that the set does not have.
-func (s *numberSet) firstMissing() int {
-	if len(s.ranges) > 0 && s.ranges[0].from == 0 {
-		return s.ranges[0].to
+// nextMissing returns the lowest number from n on that the set does not have.
+func (s *numberSet) nextMissing(n int) int {
+	if i := s.search(n); i < len(s.ranges) && s.ranges[i].from <= n {
+		return s.ranges[i].to
 	}
-	return 0
+	return n
 }
+
+// firstMissing returns the lowest number that the set does not have.
+func (s *numberSet) firstMissing() int { return s.nextMissing(0) }
--- a/internal/cell/numbers_test.go
+++ b/internal/cell/numbers_test.go
@@ -28,6 +28,11 @@
 			assert.Equal(t, set.count, len(want))
 			for n := range 110 {
 				assert.Equal(t, set.has(n), want[n], "%d in %v", n, set.ranges)
+				next := n
+				for want[next] {
+					next++
+				}
+				assert.Equal(t, set.nextMissing(n), next, "%d in %v", n, set.ranges)
 			}
 			for i := 1; i < len(set.ranges); i++ {
 				assert.Assert(t, set.ranges[i-1].to < set.ranges[i].from, "%v", set.ranges)
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -127,16 +127,36 @@
 	s.scheduledJobs = kept
 }
 
-// openDue opens the occurrences of a repeated job that are due.
+// The number of occurrences of a job that are due has no limit, so they are opened in turns, the
+// oldest first.
+const (
+	// maxOpenTasks is the number of tasks of all open occurrences of a repeated job. A task takes
+	// about 1 KB of memory. One occurrence is opened in any case.
+	maxOpenTasks = 10_000
+	// maxOpenedPerPass is the number of occurrences of a job that one pass opens, so that other
+	// jobs do not wait for thousands of them.
+	maxOpenedPerPass = 256
+)
+
+// openDue opens occurrences of a repeated job that are due.
 func (s *Scheduler) openDue(j *job) {
-	for ; j.nextDue < j.Schedule.Occurrences; j.nextDue++ {
+	for opened := 0; opened < maxOpenedPerPass; j.nextDue++ {
+		j.nextDue = j.finished.nextMissing(j.nextDue)
+		if j.nextDue >= j.Schedule.Occurrences {
+			return
+		}
 		overdueMS := s.unixMS - (j.Schedule.FirstUnixMS + int64(j.nextDue)*j.Schedule.IntervalMS)
 		if overdueMS < 0 {
 			return
 		}
-		if !j.finished.has(j.nextDue) && j.occurrences[j.nextDue] == nil {
-			s.openOccurrence(j, j.nextDue, s.now-Instant(overdueMS))
+		if j.occurrences[j.nextDue] != nil {
+			continue
+		}
+		if open := len(j.occurrences); open > 0 && (open+1)*j.tasksPerOccurrence() > maxOpenTasks {
+			return
 		}
+		s.openOccurrence(j, j.nextDue, s.now-Instant(overdueMS))
+		opened++
 	}
 }
 
