--- a/internal/cell/admission_test.go
+++ b/internal/cell/admission_test.go
@@ -19,9 +19,7 @@
 	return Job{ID: fmt.Sprintf("%016x", n), Queue: q, Steps: []Step{{Tasks: 4, Resources: Resources{CPUMilli: 100}, EstimateMS: 500, Gang: true}}}
 }
 
-// Guards against jobs that are accepted although the few callers left cannot make the calls
-// for them: steps that are late are asked about last and never start. Plays twice the
-// load that the callers bear for a minute, and checks what the clients get.
+// Guards against jobs that are accepted, at twice the load that the callers bear, and never start because the calls for them are never made.
 func TestAcceptedJobsStartWithFewCallers(t *testing.T) {
 	for _, callers := range []int{1, 2, 3} {
 		r := newRig(t, 8, Resources{CPUMilli: 8000, MemoryMB: 8000})
@@ -84,8 +82,7 @@
 	}
 }
 
-// Guards against urgent jobs, and jobs that need no call, that are refused because of long calls
-// for others.
+// Guards against urgent jobs, and jobs that need no call, that are refused because of long calls for others.
 func TestCallOverload(t *testing.T) {
 	r := newRig(t, 8, Resources{CPUMilli: 8000, MemoryMB: 8000})
 	r.s.SetCallers([]string{"e1", "e2", "e3", "e4"})
--- a/internal/cell/asked_test.go
+++ b/internal/cell/asked_test.go
@@ -13,8 +13,7 @@
 	return Job{ID: jobID(1), Queue: permitQueue(), Steps: []Step{{Tasks: 3, Resources: Resources{CPUMilli: 900}, EstimateMS: 100, Gang: true, Label: label}}}
 }
 
-// A gang that has asked about all suitable workers must ask about those that become suitable
-// later, also if they were known before. Otherwise it never starts.
+// Guards against a gang that never starts because the workers that become suitable after it has asked about all were known before.
 func TestGangAsksAboutWorkersThatBecomeSuitable(t *testing.T) {
 	for _, test := range []struct {
 		name       string
@@ -53,8 +52,7 @@
 	}
 }
 
-// The answers for the former life of a worker, and those that arrive while it is not
-// registered, must not count for its next life. Otherwise a gang that needs it never starts.
+// Guards against a gang that never starts because a refusal for a former life of a worker, or for one that had left, counts for the next.
 func TestRefusalEndsWithTheLifeOfTheWorker(t *testing.T) {
 	for _, absent := range []bool{false, true} {
 		t.Run(fmt.Sprintf("absent=%v", absent), func(t *testing.T) {
@@ -82,8 +80,7 @@
 	}
 }
 
-// A call whose caller leaves is not answered. The workers that it names must be asked about
-// again; otherwise the step never starts.
+// Guards against a step that never starts because the workers of a call whose caller has left count as asked about.
 func TestWorkersOfAnUnansweredCallAreAskedAboutAgain(t *testing.T) {
 	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	r.allow = func(string, string) bool { return true }
@@ -117,8 +114,7 @@
 	delete(r.workers, old)
 }
 
-// A service whose workers have all been replaced many times must still ask about the present
-// ones. When those that had left counted, it stopped after 100 workers and was not restarted.
+// Guards against a service that asks about no more workers, or keeps answers without a bound, once all of its workers have been replaced.
 func TestServiceAsksAboutReplacedWorkers(t *testing.T) {
 	r := newRig(t, 12, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	r.allow = func(_, worker string) bool { return worker[len(worker)-1]%2 == 0 }
@@ -138,8 +134,7 @@
 	}
 }
 
-// A step asks about further workers while few of those that it may use are left, however many
-// it may have used before.
+// Guards against a step that asks about no further workers because those that it could use have left.
 func TestStepAsksAgainWhenAllowedWorkersHaveLeft(t *testing.T) {
 	r := newRig(t, 10, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	r.allow = func(string, string) bool { return true }
@@ -157,8 +152,7 @@
 	}
 }
 
-// Guards against a step whose calls the policy service never accepts, for example because its
-// queue has lost its policy: the repeats took the callers from all other steps.
+// Guards against a step whose calls the policy service never accepts and whose repeats take the callers from all other steps.
 func TestRejectedCallsDoNotStopOtherSteps(t *testing.T) {
 	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	job := func(n int) Job {
--- a/internal/cell/discard_test.go
+++ b/internal/cell/discard_test.go
@@ -6,8 +6,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// A worker that only a discarded roster names must get no tasks: the next holder would not know
-// of it and start these tasks again elsewhere.
+// Guards against tasks that run twice because they were started on a worker that no stored roster names.
 func TestWorkerOfDiscardedRosterGetsNoTasks(t *testing.T) {
 	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	r.workers["new"] = &fakeWorker{}
--- a/internal/cell/lasting_test.go
+++ b/internal/cell/lasting_test.go
@@ -6,8 +6,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a gang that does not fit beside tasks of services, which do not end, and that
-// reserves the capacity of all other jobs for good.
+// Guards against a gang that does not fit beside services, whose tasks do not end, and reserves the capacity of all other jobs.
 func TestGangReservesNothingBesideServices(t *testing.T) {
 	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	service := oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 100}, EstimateMS: 500, LongRunning: true, MaxPerWorker: 1})
@@ -32,7 +31,7 @@
 	assert.Equal(t, r.state(jobID(2)), Completed)
 }
 
-// A gang still reserves capacity that tasks leave which end, also beside a service.
+// Guards against a gang that reserves nothing although it fits beside the services once other tasks have ended.
 func TestGangReservesCapacityBesideServices(t *testing.T) {
 	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 100}, EstimateMS: 500, LongRunning: true, MaxPerWorker: 1}))
--- a/internal/cell/occurrences_test.go
+++ b/internal/cell/occurrences_test.go
@@ -6,8 +6,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a job that takes the memory of its holder by the number of its occurrences
-// that are due, and against a pass that opens all of them while other jobs wait.
+// Guards against a job that takes the memory of its holder, or a whole pass, by the number of its occurrences that are due.
 func TestDueOccurrencesAreOpenedInTurns(t *testing.T) {
 	for _, tasks := range []int{1, 300, maxOpenTasks + 1} {
 		r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
--- a/internal/cell/parts_test.go
+++ b/internal/cell/parts_test.go
@@ -52,9 +52,7 @@
 	return job
 }
 
-// Guards against a progress record that grows with the number of occurrences until the log
-// rejects it: those that have begun, those that are completed in any order, and those that a
-// new holder reads. As many as may be open at once have begun at each time.
+// Guards against a progress record that outgrows the log by the number of occurrences that have begun or are completed.
 func TestProgressOfManyOccurrencesFitsIntoRecords(t *testing.T) {
 	const occurrences = 4 * maxOpenTasks
 	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
@@ -83,8 +81,7 @@
 	assert.Equal(t, len(r.progressKeys(jobID(1))), 0, "the progress outlives the job")
 }
 
-// A job that runs once a minute for a year must need as little of the log, and of the memory
-// of its holder, at the end as at the start.
+// Guards against progress, in the log or in memory, that grows with the time that a job runs once a minute.
 func TestProgressOfOccurrencesInOrderStaysSmall(t *testing.T) {
 	const hours, perHour = 365 * 24, 60
 	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
@@ -111,7 +108,7 @@
 	assert.Equal(t, started, hours*perHour)
 }
 
-// Guards against a progress record that grows with the width of the steps and with failed runs.
+// Guards against a progress record that outgrows the log by the width of the steps and by failed runs.
 func TestProgressOfWideStepsFitsIntoRecords(t *testing.T) {
 	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
 	job := Job{ID: jobID(1), Queue: Queue{Name: "q", Service: "svc", MaxAttempts: 30, SlackFactor: 2, TargetLatencyMS: 1000}}
@@ -148,8 +145,7 @@
 	assert.Equal(t, len(r.progressKeys(jobID(1))), 0)
 }
 
-// Guards against tasks that run again because the progress of their job was stored as a single
-// record by an earlier version, also if the holder that divides it ends halfway.
+// Guards against tasks that run again because their progress is in the single record of an earlier version, also half divided.
 func TestProgressInOneRecordIsRestored(t *testing.T) {
 	const occurrences = 3000
 	for _, stored := range []int{0, 1, 3, 100} {
@@ -208,7 +204,7 @@
 	r.advance(10)
 }
 
-// The sizes that determine how many tasks a part takes must cover the largest progress.
+// Guards against sizes of tasks in a part that do not cover the largest progress.
 func TestPartOfLargestProgressFits(t *testing.T) {
 	for _, attempts := range []int{0, 1, 4, 100, 5000} {
 		r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
--- a/internal/cell/permits_test.go
+++ b/internal/cell/permits_test.go
@@ -160,8 +160,7 @@
 	assert.Assert(t, strings.HasPrefix(r.permitRequests[0].Step, quick.ID))
 }
 
-// Guards against callers that stay idle while long calls wait: their share of few callers was
-// rounded down, to one of three. Short calls must still find a caller.
+// Guards against callers that stay idle while long calls wait, because their share of few callers is rounded down.
 func TestLongCallsUseTheirShareOfFewCallers(t *testing.T) {
 	for callers, want := range map[int]int{1: 1, 2: 1, 3: 2, 4: 2, 5: 3, 8: 5, 9: 5, 33: 20} {
 		r := newRig(t, 4, Resources{CPUMilli: 1000, MemoryMB: 1000})
--- a/internal/entry/backlog_test.go
+++ b/internal/entry/backlog_test.go
@@ -11,9 +11,7 @@
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 )
 
-// Guards against jobs that are accepted although calls of the policy service for many seconds
-// wait already. They must be refused with a retry delay, also if they come again; one that was
-// accepted must not be.
+// Guards against jobs that are accepted although calls of the policy service for many seconds wait already.
 func TestJobsAreRefusedWhileManyCallsWait(t *testing.T) {
 	log, fleet := newFakeLog(), newFakeFleet(2)
 	fleet.permitsTook = time.Minute // calls fail by their timeout and are repeated
--- a/internal/entry/discard_test.go
+++ b/internal/entry/discard_test.go
@@ -23,8 +23,7 @@
 	return w, discarded
 }
 
-// Guards against a record that the log does not accept and that is appended again for ever,
-// with all later records of the cell waiting behind it.
+// Guards against a record that the log does not accept and that is appended for ever, with all later records waiting behind it.
 func TestOnlyRecordsThatTheLogDoesNotAcceptAreDiscarded(t *testing.T) {
 	log := newFakeLog()
 	log.maxRecordBytes = 1000
@@ -45,7 +44,7 @@
 	}
 }
 
-// An append that is too large as a whole must be divided, without a record being lost.
+// Guards against records that are lost because an append is too large as a whole.
 func TestAppendThatIsTooLargeIsDivided(t *testing.T) {
 	log := newFakeLog()
 	log.maxAppendBytes = 1000
@@ -66,15 +65,14 @@
 	return 0, &AppendError{Failure: AppendInvalid}
 }
 
-// A log that refuses every call says nothing about a record, which must not be discarded then.
+// Guards against records that are discarded because the log refuses every call.
 func TestNothingIsDiscardedWhileTheLogRefusesEveryAppend(t *testing.T) {
 	w, discarded := newStoringWriter(rejectingLog{newFakeLog()})
 	assert.Assert(t, !w.store(within(500*time.Millisecond), []cell.Persist{{Seq: 1, Key: "k", Value: []byte("v")}}))
 	assert.Equal(t, len(*discarded), 0)
 }
 
-// An append whose first call was not answered and whose repeat is not accepted must not be
-// repeated before all later ones.
+// Guards against an unanswered append that is not accepted and is repeated before all later ones for ever.
 func TestUnansweredAppendEndsWhenItIsNotAccepted(t *testing.T) {
 	log := newFakeLog()
 	log.maxRecordBytes = 1000
@@ -87,8 +85,7 @@
 	assert.DeepEqual(t, *discarded, []uint64{1})
 }
 
-// A job whose record the log does not accept must be refused as invalid and never start; other
-// jobs that are submitted at the same time are accepted.
+// Guards against a job that gets no answer, or starts, although the log does not accept its record.
 func TestJobThatCannotBeStoredIsRefused(t *testing.T) {
 	log, fleet := newFakeLog(), newFakeFleet(2)
 	log.maxRecordBytes = 2000
