Send at most 16 stops to a worker at a time

The end of a job stopped all of its runs at once, with a call for each. When a job with 10,000 runs was cancelled, its holder needed 214 MB for a moment, of 284 MB on the smallest VMs.

Change: stops of a worker wait for one of 16 slots, as starts do for theirs. A stop that is repeated gives its slot back in between.

--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -219,8 +219,9 @@
 	panicStart bool     // the next start panics
 	silent     bool     // renewals are neither carried out nor answered
 	renewals   int      // number of calls
-	// permitsTook is how long a call for permits takes.
-	permitsTook time.Duration
+	// permitsTook and stopTook are how long a call for permits and a stop take.
+	permitsTook, stopTook time.Duration
+	stopping, mostStops   int // stops in progress now and at most
 	// stuckRenewal, if it is not nil, is closed to end the first renewal, which does not
 	// end by itself.
 	stuckRenewal chan struct{}
@@ -365,6 +366,12 @@
 		f.mu.Lock()
 		return &ControlError{Failure: ControlUnanswered}
 	}
+	f.stopping++
+	f.mostStops = max(f.mostStops, f.stopping)
+	f.mu.Unlock()
+	_ = clock.Sleep(ctx, f.stopTook)
+	f.mu.Lock()
+	f.stopping--
 	f.workers[t.ID].end(s.Task, s.Run, cell.EndStopped)
 	return nil
 }
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -46,6 +46,9 @@
 	// maxConcurrentStarts limits the starts in progress at one worker. This limits the
 	// number of connections to the worker; the platform charges for each new one.
 	maxConcurrentStarts = 6
+	// maxConcurrentStops limits the calls in progress at one worker that stop runs. The end of a
+	// job may stop thousands of runs at once, and each call takes memory.
+	maxConcurrentStops = 16
 	// startSlotTimeout is how long a start may wait for a slot. The other tasks of a
 	// gang wait for it on their workers, but only for a short time.
 	startSlotTimeout = 300 * time.Millisecond
@@ -70,6 +73,7 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	startSlots chan struct{}
+	stopSlots  chan struct{}
 
 	mu          sync.Mutex
 	life        workerLife
@@ -97,7 +101,7 @@
 
 func newSession(h *holder, target Target) *session {
 	ctx, cancel := context.WithCancel(h.ctx)
-	return &session{holder: h, target: target, ctx: ctx, cancel: cancel, startSlots: make(chan struct{}, maxConcurrentStarts)}
+	return &session{holder: h, target: target, ctx: ctx, cancel: cancel, startSlots: make(chan struct{}, maxConcurrentStarts), stopSlots: make(chan struct{}, maxConcurrentStops)}
 }
 
 // run renews the worker's lease and passes its listings to the scheduler, until the
@@ -421,9 +425,7 @@
 func (s *session) stop(a cell.Stop) {
 	s.holder.node.spawn(func() {
 		for s.ctx.Err() == nil {
-			ctx, cancel := context.WithTimeout(s.ctx, stopTimeout)
-			err := s.holder.node.platform.Controller.Stop(ctx, s.target, StopOrder{Stop: a, Token: s.holder.claim.Token})
-			cancel()
+			err := s.tryStop(a)
 			var c *ControlError
 			switch {
 			case err == nil:
@@ -442,6 +444,19 @@
 	})
 }
 
+// tryStop orders a stop once, as soon as a slot is free.
+func (s *session) tryStop(a cell.Stop) error {
+	select {
+	case s.stopSlots <- struct{}{}:
+		defer func() { <-s.stopSlots }()
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, stopTimeout)
+	defer cancel()
+	return s.holder.node.platform.Controller.Stop(ctx, s.target, StopOrder{Stop: a, Token: s.holder.claim.Token})
+}
+
 // throttle sets the CPU share of a task. A failed order is not repeated, because
 // the scheduler decides again at the next listing.
 func (s *session) throttle(a cell.Throttle) {
