Name all completed occurrences in part 0 for holders of earlier versions

During an update, a holder of an earlier version may take over from a new one. It does not read FinishedBelow, so it would run the completed occurrences of every repeated job again.

Change: part 0 lists the completed occurrences of its range also below FinishedBelow. Jobs of more than one part still depend on it (docs/platform.md).

--- a/internal/cell/parts.go
+++ b/internal/cell/parts.go
@@ -57,7 +57,6 @@
 	from, last := first/perOccurrence, (end-1)/perOccurrence
 	if number == 0 {
 		r.FinishedBelow = j.finished.firstMissing()
-		from = r.FinishedBelow
 	}
 	for occurrence := from; occurrence <= min(last, j.lastOccurrence()); occurrence++ {
 		if j.finished.has(occurrence) {
--- a/internal/cell/parts_test.go
+++ b/internal/cell/parts_test.go
@@ -145,6 +145,27 @@
 	assert.Equal(t, len(r.progressKeys(jobID(1))), 0)
 }
 
+// Guards against occurrences that run again during an update, because a holder of an earlier version does not read FinishedBelow.
+func TestPartZeroNamesAllCompletedOccurrencesOfASmallJob(t *testing.T) {
+	const occurrences = 100
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(r.timedJob(occurrences, Step{Tasks: 2, EstimateMS: 1000}))
+	w := r.workers["w00"]
+	w.running = slices.DeleteFunc(w.running, func(run RunningTask) bool {
+		if run.Task.Occurrence == occurrences-1 {
+			return false
+		}
+		w.number++
+		w.ended = append(w.ended, EndedTask{Number: w.number, Task: run.Task, Run: run.Run, Kind: EndDone})
+		return true
+	})
+	r.advance(10)
+	assert.DeepEqual(t, r.progressKeys(jobID(1)), []string{jobID(1) + progressSuffix})
+	var stored progressRecord
+	assert.NilError(t, decodeRecord(Record{Key: jobID(1), Value: r.log[jobID(1)+progressSuffix]}, &stored))
+	assert.Equal(t, len(stored.Finished), occurrences-1)
+}
+
 // Guards against tasks that run again because their progress is in the single record of an earlier version, also half divided.
 func TestProgressInOneRecordIsRestored(t *testing.T) {
 	const occurrences = 3000
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -32,7 +32,7 @@
 	// task is in this part.
 	Finished []int `cbor:"2,keyasint,omitempty"`
 	// FinishedBelow is the number of the first occurrence that is not completed. It is in
-	// part 0 only, for which Finished begins there.
+	// part 0 only. Earlier versions do not read it, so Finished names those below it too.
 	FinishedBelow int `cbor:"3,keyasint,omitempty"`
 }
 
