Log which life of a worker answers a start, and the lease that ends

The clock in the answer to a start was dropped. No decision changes: start_met_other_life, worker_life_began and lease_ended are new lines.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -281,6 +281,8 @@
 	s.mu.Lock()
 	deadlineMS := s.life.deadlineMS
 	s.expiredMS = deadlineMS
+	s.holder.logger.Info("lease_ended", zap.String("worker", s.target.ID), zap.Int64("incarnation", s.life.incarnation), zap.Int64("deadline_ms", deadlineMS),
+		zap.Int64("clock_ms", s.life.clockMS), zap.Duration("silent", time.Since(s.life.clockAt)))
 	s.mu.Unlock()
 	s.report(func(sched *cell.Scheduler) {
 		s.mu.Lock()
@@ -318,6 +320,10 @@
 	}
 	s.answering, s.answered, s.unreachable = true, true, false
 	if s.life.incarnation != incarnation {
+		if former := s.life; former.incarnation != 0 {
+			s.holder.logger.Info("worker_life_began", zap.String("worker", s.target.ID), zap.Int64("incarnation", incarnation), zap.Int64("clock_ms", clockMS),
+				zap.Int64("former_incarnation", former.incarnation), zap.Int64("former_clock_ms", former.clockMS), zap.Int64("former_deadline_ms", former.deadlineMS))
+		}
 		// An earlier holder may have given the worker a lease of this duration.
 		s.life = workerLife{incarnation: incarnation, deadlineMS: clockMS + s.leaseDuration().Milliseconds()}
 		s.expiredMS = 0
@@ -332,6 +338,13 @@
 	return at
 }
 
+// isOther reports whether an answer with the given time of the worker's clock, to an order that
+// was sent at sentAt, is from another incarnation, whose clock has begun anew.
+func (l *workerLife) isOther(clockMS int64, sentAt time.Time) bool {
+	elapsedMS := float64(sentAt.Sub(l.clockAt).Milliseconds()) * (1 - clockDrift)
+	return clockMS < l.clockMS+int64(elapsedMS)-leaseEndMargin.Milliseconds()
+}
+
 // startDeadline returns the deadline of a start that is sent now, and whether one may be
 // sent: the worker must answer renewals, or its clock is not known, the term must not have
 // ended nor its release begun, and the lease that the start gives must end before a next holder
@@ -414,7 +427,12 @@
 	order := StartOrder{Start: a, Token: s.holder.claim.Token, DeadlineMS: deadlineMS}
 	ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
 	defer cancel()
-	outcome, _ := s.holder.node.platform.Controller.Start(ctx, s.target, order)
+	life, sentAt := s.lastLife(), time.Now()
+	outcome, clockMS := s.holder.node.platform.Controller.Start(ctx, s.target, order)
+	if clockMS > 0 && life.isOther(clockMS, sentAt) {
+		s.holder.logger.Warn("start_met_other_life", zap.String("worker", s.target.ID), zap.String("task", a.Task.String()), zap.Uint32("run", a.Run),
+			zap.Stringer("outcome", outcome), zap.Int64("clock_ms", clockMS), zap.Int64("known_clock_ms", life.clockMS))
+	}
 	if outcome == cell.StartFenced {
 		s.holder.endTerm("worker_fenced")
 	}
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -165,3 +165,22 @@
 	fleet.setRegistered(registered...)
 	eventually(t, "a new session", func() bool { return sessions() == 1 })
 }
+
+// Guards against an answer of a restarted worker that counts as one of its former life, and the reverse.
+func TestClockTellsLivesApart(t *testing.T) {
+	now := time.Now()
+	life := workerLife{incarnation: 1, clockMS: 20_000, clockAt: now.Add(-time.Second)}
+	for _, c := range []struct {
+		clockMS int64
+		other   bool
+	}{
+		{21_000, false},
+		{20_980, false}, // a clock that is 2% slow
+		{25_000, false}, // the order was carried out late
+		{19_900, true},  // earlier than the last reading
+		{20_500, true},
+		{400, true},
+	} {
+		assert.Equal(t, life.isOther(c.clockMS, now), c.other, "clock %d", c.clockMS)
+	}
+}
