Wait for the longest lease a worker allows where another order may have given it

Callers saw a task run twice: its worker returned under its ID, was cut off, and the holder placed the task elsewhere while the first run went on. The holder reckoned with the leases that it gives itself, which are limited to 6 s, and so did the next holder after a takeover.

TestLeaseIsBounded checks the lease that is given, as the configuration holds the worker's limit now. Ruled out: renewals that the holder itself sends to the new incarnation; they are on its clock and recorded.

--- a/cmd/fulmarlatch-entry/main.go
+++ b/cmd/fulmarlatch-entry/main.go
@@ -201,7 +201,7 @@
 		Cells:            s.Cells,
 		Partitions:       s.Node.Log.Partitions,
 		CPUShare:         s.Node.Limits.CPUShare,
-		LeaseMS:          b.LeaseMS,
+		LongestLeaseMS:   b.LeaseMS,
 		KeepEndedMS:      int64(b.StatusS * 1000),
 		RemoteDataFactor: b.SpreadFactor,
 		StopTimeoutMS:    b.StopTimeoutMS,
--- a/internal/entry/agent_test.go
+++ b/internal/entry/agent_test.go
@@ -49,7 +49,7 @@
 // A holder that releases its cell must not renew leases from then on, because the next
 // holder treats an unreachable worker as empty without waiting for authorityPeriod.
 func TestReleaseEndsAuthority(t *testing.T) {
-	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{}), 0)
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{}), 0)
 	h := newHolder(a, claim{Term: 1}, authorityPeriod)
 	assert.Assert(t, h.hasAuthority())
 	close(h.releasing)
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -25,9 +25,10 @@
 	// CPUShare is this process's share of a CPU core; 0 if unknown. Processes with a
 	// larger share are preferred as holders.
 	CPUShare float64
-	// LeaseMS is the maximum lease of a worker, in ms. The process uses at most
-	// maxLeaseMS.
-	LeaseMS int64
+	// LongestLeaseMS is the longest lease of a worker, in ms. Workers shorten longer ones to it,
+	// such as a deadline on the clock of a former incarnation. The process gives leases of at
+	// most maxLeaseMS.
+	LongestLeaseMS int64
 	// KeepEndedMS is how long the state of an ended job is kept, in ms.
 	KeepEndedMS int64
 	// StopTimeoutMS is the maximum time a worker takes to stop a run, in ms.
--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -68,7 +68,7 @@
 	client := &clientLog{fakeLog: log}
 	n := NewNode(Config{
 		Name: name, Domain: "d", Incarnation: name + ln.Addr().String(), LinkAddress: ln.Addr().String(),
-		Cells: 1, LeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3,
+		Cells: 1, LongestLeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3,
 		Logger: zaptest.NewLogger(t, zaptest.Level(zap.WarnLevel)).With(zap.String("entry", name)),
 	}, Platform{Log: client, Registry: fleet, Controller: fleet, Policy: fleet})
 	n.Start(ln)
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -222,6 +223,10 @@
 	// permitsTook and stopTook are how long a call for permits and a stop take.
 	permitsTook, stopTook time.Duration
 	stopping, mostStops   int // stops in progress now and at most
+	// longestLeaseMS is the longest lease of a worker, to which longer ones are shortened; 0 if
+	// leases do not end.
+	longestLeaseMS int64
+	doubleRuns     []string // tasks that were started while another run of them went on
 	// stuckRenewal, if it is not nil, is closed to end the first renewal, which does not
 	// end by itself.
 	stuckRenewal chan struct{}
@@ -236,6 +241,28 @@
 	bornMS   int64  // fakeClockMS at its last start
 	silent   bool   // neither renewals nor orders are carried out or answered
 	discard  uint64 // highest number acknowledged to this incarnation
+	leaseEnd int64  // on the worker's clock
+}
+
+// prolong extends the worker's lease to a time of its clock, or by the longest lease. f.mu must be held.
+func (f *fakeFleet) prolong(w *fakeWorker, deadlineMS int64) {
+	w.leaseEnd = max(w.leaseEnd, min(deadlineMS, w.clockMS()+f.longestLeaseMS))
+}
+
+// expireLeases ends the runs of workers whose leases have expired. f.mu must be held.
+func (f *fakeFleet) expireLeases() {
+	for _, w := range f.workers {
+		for f.longestLeaseMS > 0 && w.clockMS() > w.leaseEnd && len(w.running) > 0 {
+			w.end(w.running[0].Task, w.running[0].Run, cell.EndLeaseExpired)
+		}
+	}
+}
+
+// startedTwice returns the tasks that were started while another run of them went on.
+func (f *fakeFleet) startedTwice() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.doubleRuns...)
 }
 
 // clockMS returns the worker's clock, which begins at 0 when it restarts.
@@ -326,7 +353,9 @@
 	if r.Token < w.token {
 		return LeaseRenewalResult{}, &ControlError{Failure: ControlFenced}
 	}
+	f.expireLeases()
 	w.token, w.discard = r.Token, max(w.discard, r.Acknowledged)
+	f.prolong(w, r.DeadlineMS)
 	for len(w.ended) > 0 && w.ended[0].Number <= r.Acknowledged {
 		w.ended = w.ended[1:]
 	}
@@ -352,6 +381,14 @@
 	if s.Token < w.token {
 		return cell.StartFenced, w.clockMS()
 	}
+	f.expireLeases()
+	w.token = s.Token
+	f.prolong(w, s.DeadlineMS)
+	for _, other := range f.workers {
+		if slices.ContainsFunc(other.running, func(r cell.RunningTask) bool { return r.Task == s.Task }) {
+			f.doubleRuns = append(f.doubleRuns, s.Task.String())
+		}
+	}
 	w.running = append(w.running, cell.RunningTask{Task: s.Task, Run: s.Run})
 	f.starts = append(f.starts, s.Task.String())
 	return cell.StartAccepted, w.clockMS()
@@ -447,7 +484,7 @@
 	client := &clientLog{fakeLog: log}
 	n := NewNode(Config{
 		Name: name, Domain: "d", Incarnation: name + ln.Addr().String(), LinkAddress: ln.Addr().String(),
-		Cells: 1, CPUShare: cpuShare, LeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3,
+		Cells: 1, CPUShare: cpuShare, LongestLeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3,
 		Logger: zaptest.NewLogger(t, zaptest.Level(zap.WarnLevel)).With(zap.String("entry", name)),
 	}, Platform{Log: client, Registry: fleet, Controller: fleet, Policy: fleet, Configuration: fakeConfiguration(name)})
 	n.Start(ln)
--- a/internal/entry/lag_test.go
+++ b/internal/entry/lag_test.go
@@ -41,6 +41,9 @@
 // The tasks of a worker that is gone, and after a takeover all restored ones, wait for
 // one lease. A lease of 10 s delayed them beyond the objective of most jobs.
 func TestLeaseIsBounded(t *testing.T) {
-	assert.Equal(t, NewNode(Config{LeaseMS: 10_000}, Platform{}).cfg.LeaseMS, int64(maxLeaseMS))
-	assert.Equal(t, NewNode(Config{LeaseMS: 3000}, Platform{}).cfg.LeaseMS, int64(3000))
+	s := testSession()
+	s.holder.node.cfg.LongestLeaseMS = 10_000
+	assert.Equal(t, s.leaseDuration(), maxLeaseMS*time.Millisecond)
+	s.holder.node.cfg.LongestLeaseMS = 3000
+	assert.Equal(t, s.leaseDuration(), 3*time.Second)
 }
--- a/internal/entry/maintenance_test.go
+++ b/internal/entry/maintenance_test.go
@@ -42,7 +42,7 @@
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	n := NewNode(Config{Name: name, Incarnation: name, LinkAddress: ln.Addr().String(), Cells: 1, LeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3},
+	n := NewNode(Config{Name: name, Incarnation: name, LinkAddress: ln.Addr().String(), Cells: 1, LongestLeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3},
 		Platform{Log: log, Registry: fleet, Controller: fleet, Policy: fleet, Maintenance: m})
 	n.Start(ln)
 	t.Cleanup(n.Close)
@@ -155,7 +155,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			m := newFakeMaintenance(1, time.Second)
-			n := NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{Maintenance: m, Log: newFakeLog()})
+			n := NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{Maintenance: m, Log: newFakeLog()})
 			h := newHolder(newAgent(n, 0), claim{Term: test.term, Token: 5}, authorityPeriod)
 			h.confirmedAt -= test.confirmed
 			h.startedAt = h.startedAt.Add(-test.started)
@@ -195,7 +195,7 @@
 // Guards against a wave that never reaches the next cell because one append of the progress failed.
 func TestTurnOfWaveIsPassedOnAfterFailedAppend(t *testing.T) {
 	log, m := &refusingLog{fakeLog: newFakeLog(), topic: topicWaves}, newFakeMaintenance(0, time.Second)
-	n := NewNode(Config{Name: "a", Cells: 2, LeaseMS: 6000, Logger: zap.NewNop()}, Platform{Log: log, Maintenance: m})
+	n := NewNode(Config{Name: "a", Cells: 2, LongestLeaseMS: 6000, Logger: zap.NewNop()}, Platform{Log: log, Maintenance: m})
 	h := newHolder(newAgent(n, 0), claim{Token: 5, Term: 1}, 0)
 	defer h.cancel()
 	go h.runWaves()
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -46,7 +46,6 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewRegistry()
 	}
-	cfg.LeaseMS = min(cfg.LeaseMS, maxLeaseMS)
 	n := &Node{cfg: cfg, platform: platform}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.meters = newMeters(cfg.Metrics)
--- a/internal/entry/pause_between_calls_test.go
+++ b/internal/entry/pause_between_calls_test.go
@@ -40,7 +40,7 @@
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	cfg.Name, cfg.Incarnation, cfg.LinkAddress, cfg.LeaseMS, cfg.Logger = "a", "second", ln.Addr().String(), 6000, zap.NewNop()
+	cfg.Name, cfg.Incarnation, cfg.LinkAddress, cfg.LongestLeaseMS, cfg.Logger = "a", "second", ln.Addr().String(), 6000, zap.NewNop()
 	fleet := newFakeFleet(1)
 	n := NewNode(cfg, Platform{Log: log, Registry: fleet, Controller: fleet, Policy: fleet})
 	n.Start(ln)
--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -25,7 +25,7 @@
 	}
 	// From now on the log rejects all appends of earlier holders, so they stop renewing
 	// leases within their authorityPeriod.
-	restoreUntil := h.now() + cell.Instant(h.priorAuthority.Milliseconds()+maxLeaseDurationMS(h.node.cfg.LeaseMS))
+	restoreUntil := h.now() + h.longestPriorLease()
 	reader := newLaneReader()
 	for _, lane := range lanes {
 		records, ok := h.readLane(lane)
@@ -41,6 +41,13 @@
 	return true
 }
 
+// longestPriorLease returns for how long, in ms, a lease of an earlier holder may still be in force
+// once the lanes are fenced. The last order may reach a worker that has just restarted, which
+// shortens the deadline on its former clock to the longest lease only.
+func (h *holder) longestPriorLease() cell.Instant {
+	return cell.Instant(h.priorAuthority.Milliseconds() + maxLeaseDurationMS(h.node.cfg.LongestLeaseMS))
+}
+
 // jobKeySplits divides the keys of jobs, which begin with a hexadecimal number, into
 // ranges that are read at the same time. After hours of load, the records of a cell take
 // dozens of pages.
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -150,9 +150,9 @@
 	return renewal
 }
 
-// leaseDuration returns the duration of a lease on the worker's clock.
+// leaseDuration returns the duration of the leases that the holder gives, on the worker's clock.
 func (s *session) leaseDuration() time.Duration {
-	return time.Duration(s.holder.node.cfg.LeaseMS) * time.Millisecond
+	return time.Duration(min(s.holder.node.cfg.LongestLeaseMS, maxLeaseMS)) * time.Millisecond
 }
 
 // acknowledge lets the worker discard its ended tasks up to number, if it is still in
@@ -324,8 +324,9 @@
 			s.holder.logger.Info("worker_life_began", zap.String("worker", s.target.ID), zap.Int64("incarnation", incarnation), zap.Int64("clock_ms", clockMS),
 				zap.Int64("former_incarnation", former.incarnation), zap.Int64("former_clock_ms", former.clockMS), zap.Int64("former_deadline_ms", former.deadlineMS))
 		}
-		// An earlier holder may have given the worker a lease of this duration.
-		s.life = workerLife{incarnation: incarnation, deadlineMS: clockMS + s.leaseDuration().Milliseconds()}
+		// An earlier holder, or an order on the clock of a former incarnation, may have given the worker
+		// a lease of this duration.
+		s.life = workerLife{incarnation: incarnation, deadlineMS: clockMS + s.holder.node.cfg.LongestLeaseMS}
 		s.expiredMS = 0
 	}
 	s.life.clockMS, s.life.clockAt, s.life.heardAt = clockMS, time.Now(), clock.SinceBoot()
--- a/internal/entry/session_change_test.go
+++ b/internal/entry/session_change_test.go
@@ -96,7 +96,7 @@
 	})))
 	n := NewNode(Config{
 		Name: "a", Domain: "d", Incarnation: "a" + ln.Addr().String(), LinkAddress: ln.Addr().String(),
-		Cells: 1, LeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3, Logger: logger,
+		Cells: 1, LongestLeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3, Logger: logger,
 	}, Platform{Log: &clientLog{fakeLog: newFakeLog()}, Registry: fleet, Controller: view, Policy: fleet})
 	n.Start(ln)
 	t.Cleanup(func() { n.Close(); n.tasks.Wait() })
--- a/internal/entry/session_end_test.go
+++ b/internal/entry/session_end_test.go
@@ -247,13 +247,19 @@
 }
 
 func startMuted(t *testing.T, fleet *fakeFleet, view Controller) *testNode {
+	t.Helper()
+	return startLeased(t, fleet, view, 6000)
+}
+
+// startLeased starts a process that controls the fleet through view, with the given longest lease of workers.
+func startLeased(t *testing.T, fleet *fakeFleet, view Controller, longestLeaseMS int64) *testNode {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	client := &clientLog{fakeLog: newFakeLog()}
 	n := NewNode(Config{
 		Name: "a", Domain: "d", Incarnation: "a" + ln.Addr().String(), LinkAddress: ln.Addr().String(),
-		Cells: 1, LeaseMS: 6000, KeepEndedMS: 120000, RemoteDataFactor: 3,
+		Cells: 1, LongestLeaseMS: longestLeaseMS, KeepEndedMS: 120000, RemoteDataFactor: 3,
 		Logger: zaptest.NewLogger(t, zaptest.Level(zap.WarnLevel)),
 	}, Platform{Log: client, Registry: fleet, Controller: view, Policy: fleet})
 	n.Start(ln)
--- a/internal/entry/session_errors_test.go
+++ b/internal/entry/session_errors_test.go
@@ -52,7 +52,7 @@
 // Guards against the run of a cancelled job that goes on because its stop is not repeated until the worker answers.
 func TestStopIsRepeatedUntilItIsAnswered(t *testing.T) {
 	fleet := newFakeFleet(1)
-	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{Controller: fleet}), 0), claim{Term: 1}, 0)
+	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{Controller: fleet}), 0), claim{Term: 1}, 0)
 	s := newSession(h, Target{ID: "w0", Address: "w0"})
 	fleet.setSilent("w0", true)
 	s.stop(cell.Stop{Worker: "w0"})
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -35,7 +35,7 @@
 
 // testSession returns a session without a worker.
 func testSession() *session {
-	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{}), 0)
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{}), 0)
 	return newSession(newHolder(a, claim{Holder: "a", Term: 1}, 0), Target{ID: "w", Address: "w"})
 }
 
@@ -115,7 +115,7 @@
 
 // Guards against starts that a holder sends after its term has ended, such as those that waited for a slot.
 func TestNoStartIsSentAfterTheTerm(t *testing.T) {
-	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{Controller: newFakeFleet(1)}), 0), claim{Term: 1}, 0)
+	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{Controller: newFakeFleet(1)}), 0), claim{Term: 1}, 0)
 	fleet := h.node.platform.Controller.(*fakeFleet)
 	s := newSession(h, Target{ID: "w0", Address: "w0"})
 	s.recordResponse(1, fakeClockMS())
@@ -128,7 +128,7 @@
 
 // Guards against starts that a holder sends after a planned release of the cell has begun.
 func TestNoStartIsSentDuringRelease(t *testing.T) {
-	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{Controller: newFakeFleet(1)}), 0), claim{Term: 1}, 0)
+	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{Controller: newFakeFleet(1)}), 0), claim{Term: 1}, 0)
 	fleet := h.node.platform.Controller.(*fakeFleet)
 	s := newSession(h, Target{ID: "w0", Address: "w0"})
 	s.recordResponse(1, fakeClockMS())
--- a/internal/entry/term_test.go
+++ b/internal/entry/term_test.go
@@ -56,7 +56,7 @@
 // hide the holder before it: that one may renew leases for authorityPeriod, and a next
 // holder that did not wait for it could start a task that still runs.
 func TestEarlyReleaseKeepsPriorAuthority(t *testing.T) {
-	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000}, Platform{}), 0)
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{}), 0)
 	for _, test := range []struct {
 		name  string
 		prior time.Duration // of the term that is released
@@ -135,7 +135,7 @@
 // Guards against a former holder that goes on although the log has told it that its lane is fenced.
 func TestFencedProbeEndsTerm(t *testing.T) {
 	log := newFakeLog()
-	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LeaseMS: 6000, Logger: zap.NewNop()}, Platform{Log: log}), 0)
+	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000, Logger: zap.NewNop()}, Platform{Log: log}), 0)
 	h := newHolder(a, claim{Holder: "a", Token: 5, Term: 1, Lanes: firstLane}, 0)
 	defer h.cancel()
 	log.setOutage(topicClaims, a.claims.partition, refuses)
