Give each incarnation of a worker a fencing token of its own

Callers saw tasks run twice, or run again after they were done, on workers that return under their IDs. An order without an answer may be carried out seconds later, also by the next incarnation: the header with the expected worker is the same, and a new incarnation has seen no token. A late renewal prolongs its lease and makes it forget ends that nobody has read, a late start begins a run there whose stop the former incarnation has answered. No wait covers this, as the delay has no stated limit.

Each renewal of the claim has an offset below those of later claims, so the holder may use it as a token. A session takes the next one when its worker has restarted, and uses no listing, gives no lease and sends no start until a renewal with it is answered. From then on the incarnation refuses what was meant for the former one. Renewals without effect cost no token. An order that is refused because a later one of the same session was first does not end the term.

Tests of sessions have them answer until the listing is used, as strict as before.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -156,7 +156,7 @@
 	fleet.hangStarts = true
 	fleet.mu.Unlock()
 	s := newSession(h, Target{ID: "w0", Address: "w0"})
-	s.recordResponse(1, fakeClockMS()) // starts are sent only to a worker that answers renewals
+	s.answer(t, 1, fakeClockMS()) // starts are sent only to a worker that answers renewals
 	outcomes := make(chan cell.StartOutcome, 3*maxConcurrentStarts)
 	start := time.Now()
 	for range cap(outcomes) {
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -397,12 +397,17 @@
 func (f *fakeFleet) Stop(ctx context.Context, t Target, s StopOrder) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.workers[t.ID].silent {
+	w := f.workers[t.ID]
+	if w.silent {
 		f.mu.Unlock()
 		<-ctx.Done()
 		f.mu.Lock()
 		return &ControlError{Failure: ControlUnanswered}
 	}
+	if s.Token < w.token {
+		return &ControlError{Failure: ControlFenced}
+	}
+	w.token = s.Token
 	f.stopping++
 	f.mostStops = max(f.mostStops, f.stopping)
 	f.mu.Unlock()
--- a/internal/entry/former_life_test.go
+++ b/internal/entry/former_life_test.go
@@ -1,6 +1,9 @@
 package entry
 
 import (
+	"context"
+	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -32,6 +35,7 @@
 
 // Guards against a task that runs twice because a renewal for the former life of its worker gave the new one a longer lease than the holder gives.
 func TestLongestLeaseOfARestartedWorker(t *testing.T) {
+	t.Parallel()
 	fleet, all := oldFleet(2, 10_000)
 	n := startLeased(t, fleet, fleet, 10_000)
 	eventually(t, "a holder", n.holds)
@@ -56,3 +60,129 @@
 	waits := time.Duration(s.holder.longestPriorLease()) * time.Millisecond
 	assert.Assert(t, waits >= authorityPeriod+10*time.Second, "waits for %v", waits)
 }
+
+// recordedFleet keeps the newest orders that may change a worker.
+type recordedFleet struct {
+	*fakeFleet
+	orders  sync.Mutex
+	renewal LeaseRenewal
+	start   StartOrder
+	stop    StopOrder
+}
+
+func (f *recordedFleet) RenewLease(ctx context.Context, t Target, r LeaseRenewal) (LeaseRenewalResult, error) {
+	if r.Acknowledged > 0 && r.DeadlineMS > 0 {
+		f.orders.Lock()
+		f.renewal = r
+		f.orders.Unlock()
+	}
+	return f.fakeFleet.RenewLease(ctx, t, r)
+}
+
+func (f *recordedFleet) Start(ctx context.Context, t Target, o StartOrder) (cell.StartOutcome, int64) {
+	f.orders.Lock()
+	f.start = o
+	f.orders.Unlock()
+	return f.fakeFleet.Start(ctx, t, o)
+}
+
+func (f *recordedFleet) Stop(ctx context.Context, t Target, o StopOrder) error {
+	f.orders.Lock()
+	f.stop = o
+	f.orders.Unlock()
+	return f.fakeFleet.Stop(ctx, t, o)
+}
+
+// Guards against orders for the former life of a worker that the new one carries out late: leases, forgotten ends, runs and stops nobody knows of.
+func TestNewLifeRefusesOrdersForTheFormerOne(t *testing.T) {
+	t.Parallel()
+	fleet, _ := oldFleet(1, 6000)
+	view := &recordedFleet{fakeFleet: fleet}
+	n := startMuted(t, fleet, view)
+	eventually(t, "a holder", n.holds)
+	submitLong(t, n)
+	eventually(t, "a start", func() bool { return fleet.started() == 1 })
+	err := n.Cancel(within(3*time.Second), testJob(1).ID)
+	assert.NilError(t, err)
+	eventually(t, "an acknowledgement of the end", func() bool { return fleet.discarded("w0") == 1 })
+	fleet.restart("w0")
+	h, _, _ := n.agents()[0].route()
+	eventually(t, "a listing of the new life", func() bool { return sessionOf(h, "w0").lastLife().incarnation == 2 })
+
+	view.orders.Lock()
+	renewal, start, stop := view.renewal, view.start, view.stop
+	view.orders.Unlock()
+	assert.Assert(t, renewal.Token > 0 && start.Token > 0 && stop.Token > 0, "orders of each kind")
+	w0 := Target{ID: "w0", Address: "w0"}
+	var c *ControlError
+	_, err = fleet.RenewLease(within(time.Second), w0, renewal)
+	assert.Assert(t, errors.As(err, &c) && c.Failure == ControlFenced, "renewal: %v", err)
+	outcome, _ := fleet.Start(within(time.Second), w0, start)
+	assert.Equal(t, outcome, cell.StartFenced)
+	err = fleet.Stop(within(time.Second), w0, stop)
+	assert.Assert(t, errors.As(err, &c) && c.Failure == ControlFenced, "stop: %v", err)
+}
+
+// Guards against a listing that is used, and starts that follow it, while orders for a former life may still change the present one.
+func TestListingIsUsedOnceFormerOrdersAreRefused(t *testing.T) {
+	s := testSession()
+	s.answer(t, 1, 300_000)
+	s.acknowledge(1, 370)
+	sent := s.nextRenewal()
+	assert.Assert(t, !s.recordResponse(sent.Token, 2, 100), "answered by the new life")
+	_, _, ok := s.startDeadline()
+	assert.Assert(t, !ok, "a start on a life that the session does not know")
+	next := s.nextRenewal()
+	assert.Equal(t, next, LeaseRenewal{Token: sent.Token + 1}, "without numbers of a former life")
+	assert.Assert(t, !s.recordResponse(sent.Token, 1, 300_100), "a late answer of the former life")
+	assert.Assert(t, s.recordResponse(next.Token, 2, 200))
+	assert.Equal(t, s.nextRenewal().Token, next.Token, "the same life keeps its token")
+}
+
+// Guards against an order without effect that costs a token, of which there is one for each renewal of the claim.
+func TestPureRenewalsNeedNoToken(t *testing.T) {
+	s := testSession()
+	s.answer(t, 1, 300_000)
+	s.setUnreachable()
+	s.answer(t, 2, 100)
+	used := s.nextRenewal().Token
+	assert.Equal(t, used, int64(1))
+	s.holder.tokens = newOrderTokens(used) // the claim is not renewed any more
+	assert.Assert(t, !s.recordResponse(s.nextRenewal().Token, 3, 100))
+	assert.Assert(t, !s.recordResponse(s.nextRenewal().Token, 3, 200), "no token that orders to life 2 did not have")
+	s.holder.tokens.extend(used + 1)
+	s.answer(t, 3, 300)
+	assert.Equal(t, s.nextRenewal().Token, used+1)
+}
+
+// Guards against a term that ends because its own later order was carried out before an earlier one.
+func TestOwnLaterOrderDoesNotEndTheTerm(t *testing.T) {
+	s := testSession()
+	s.answer(t, 1, 300_000)
+	former := s.nextRenewal().Token
+	s.answer(t, 2, 100)
+	assert.Assert(t, !s.handleFenced(former))
+	assert.NilError(t, s.ctx.Err())
+	assert.Assert(t, s.handleFenced(s.currentToken()), "of a newer holder")
+	assert.Equal(t, s.holder.cause, "worker_fenced")
+}
+
+// Guards against tokens of two sessions with one worker that do not tell its lives apart, and against those of later claims.
+func TestOrderTokens(t *testing.T) {
+	tokens := newOrderTokens(5)
+	first, used := tokens.first()
+	assert.Equal(t, first, int64(5))
+	assert.Assert(t, !used)
+	_, ok := tokens.after(first)
+	assert.Assert(t, !ok, "the next claim may have the offset 6")
+	tokens.markUsed(first)
+	again, used := tokens.first()
+	assert.Assert(t, again == 5 && used, "an order of an earlier session may be under way")
+	tokens.extend(7)
+	again, used = tokens.first()
+	assert.Assert(t, again == 6 && !used)
+	next, ok := tokens.after(again)
+	assert.Assert(t, ok && next == 7)
+	_, ok = tokens.after(next)
+	assert.Assert(t, !ok)
+}
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -25,6 +25,7 @@
 	agent     *agent
 	node      *Node
 	claim     claim
+	tokens    *orderTokens // of the orders to workers
 	logger    *zap.Logger
 	startedAt time.Time
 
@@ -95,7 +96,7 @@
 func newHolder(a *agent, c claim, priorAuthority time.Duration) *holder {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &holder{
-		agent: a, node: a.node, claim: c,
+		agent: a, node: a.node, claim: c, tokens: newOrderTokens(c.Token),
 		logger:         a.logger.With(zap.Int64("token", c.Token)),
 		startedAt:      time.Now(),
 		events:         make(chan event, eventQueueLength),
@@ -450,7 +451,7 @@
 	s := newSession(h, target)
 	if old != nil {
 		old.cancel()
-		s.life = old.lastLife() // its lease may be in force until the worker answers
+		s.inherit(old)
 		h.sched.ResendStops(info.ID)
 	}
 	h.sessions[info.ID] = s
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -75,8 +75,12 @@
 	startSlots chan struct{}
 	stopSlots  chan struct{}
 
-	mu          sync.Mutex
-	life        workerLife
+	mu   sync.Mutex
+	life workerLife
+	// token is the fencing token of the orders. It rises with each incarnation of the worker that
+	// follows another one, so that the present one refuses what was meant for those before.
+	token       int64
+	effective   bool // an order with this token may change an incarnation that carries it out late
 	answering   bool // the last renewal was answered, so that life is the present one
 	answered    bool // a renewal was answered at the address of the target
 	unreachable bool // the last renewal was not answered
@@ -101,7 +105,18 @@
 
 func newSession(h *holder, target Target) *session {
 	ctx, cancel := context.WithCancel(h.ctx)
-	return &session{holder: h, target: target, ctx: ctx, cancel: cancel, startSlots: make(chan struct{}, maxConcurrentStarts), stopSlots: make(chan struct{}, maxConcurrentStops)}
+	s := &session{holder: h, target: target, ctx: ctx, cancel: cancel, startSlots: make(chan struct{}, maxConcurrentStarts), stopSlots: make(chan struct{}, maxConcurrentStops)}
+	s.token, s.effective = h.tokens.first()
+	return s
+}
+
+// inherit makes the session continue another one with the worker, at a former address. The lease
+// of the known incarnation may be in force until the worker answers.
+func (s *session) inherit(old *session) {
+	life, token := old.lastLife(), old.currentToken()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.life, s.token, s.effective = life, token, true
 }
 
 // run renews the worker's lease and passes its listings to the scheduler, until the
@@ -111,6 +126,9 @@
 	for s.ctx.Err() == nil && !s.holder.isReleasing() {
 		renewal := s.nextRenewal()
 		result, err := s.renew(renewal)
+		if err != nil && s.isSuperseded(renewal.Token) {
+			continue // the next renewal has a higher token
+		}
 		if err != nil {
 			if !s.handleRenewalError(err, result.Listing.RequestedAt) {
 				return
@@ -121,7 +139,12 @@
 			continue
 		}
 		listing := result.Listing
-		s.recordResponse(listing.Incarnation, result.ClockMS)
+		if !s.recordResponse(renewal.Token, listing.Incarnation, result.ClockMS) {
+			if !s.isSuperseded(renewal.Token) && !clock.Sleep(s.ctx, renewalRetryDelay) {
+				return
+			}
+			continue
+		}
 		s.report(func(sched *cell.Scheduler) {
 			sched.Listed(listing)
 			s.acknowledge(listing.Incarnation, sched.Acknowledged(s.target.ID))
@@ -134,9 +157,9 @@
 // worker may have restarted since: the renewal then only asks for a listing, because
 // acknowledgements and deadlines of a former life would apply to the present one.
 func (s *session) nextRenewal() LeaseRenewal {
-	renewal := LeaseRenewal{Token: s.holder.claim.Token}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	renewal := LeaseRenewal{Token: s.token}
 	if !s.answering {
 		return renewal
 	}
@@ -147,9 +170,38 @@
 	if s.ctx.Err() == nil && s.holder.hasAuthority() {
 		renewal.DeadlineMS = s.life.deadline(s.leaseDuration())
 	}
+	if renewal.Acknowledged > 0 || renewal.DeadlineMS > 0 {
+		s.markEffective()
+	}
 	return renewal
 }
 
+// markEffective records that an order is sent that may change an incarnation which it is not
+// meant for. s.mu must be held.
+func (s *session) markEffective() {
+	s.effective = true
+	s.holder.tokens.markUsed(s.token)
+}
+
+// advance takes the next token for the orders that follow, so that the worker refuses earlier ones
+// from its answer to the next renewal on. Until then, no starts are sent. Without a further token,
+// which each renewal of the claim gives, the session stays at this one. s.mu must be held.
+func (s *session) advance() {
+	s.answering = false
+	if next, ok := s.holder.tokens.after(s.token); ok {
+		s.token, s.effective = next, false
+	}
+}
+
+func (s *session) currentToken() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.token
+}
+
+// isSuperseded reports whether later orders of this session have a higher token.
+func (s *session) isSuperseded(token int64) bool { return token < s.currentToken() }
+
 // leaseDuration returns the duration of the leases that the holder gives, on the worker's clock.
 func (s *session) leaseDuration() time.Duration {
 	return time.Duration(min(s.holder.node.cfg.LongestLeaseMS, maxLeaseMS)) * time.Millisecond
@@ -241,7 +293,6 @@
 	var c *ControlError
 	if errors.As(err, &c) && c.Failure == ControlFenced {
 		s.holder.endTerm("worker_fenced")
-		return false
 	}
 	if s.ctx.Err() != nil {
 		return false
@@ -310,26 +361,41 @@
 	return changed
 }
 
-// recordResponse records a response to a renewal: the worker's incarnation and its clock
-// in ms.
-func (s *session) recordResponse(incarnation, clockMS int64) {
+// recordResponse records a response to a renewal with the given token: the worker's incarnation and
+// its clock in ms. It reports whether the listing may be used. It may not if orders that were meant for
+// a former incarnation may still change the present one: they could end the lease later than this
+// session knows, begin runs, or make the worker forget ends that are not read yet.
+func (s *session) recordResponse(token, incarnation, clockMS int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if token < s.token {
+		return false
+	}
+	if s.life.incarnation != incarnation && s.effective {
+		s.advance()
+		return false
+	}
 	if s.unreachable {
 		s.holder.logger.Info("worker_regained", zap.String("worker", s.target.ID))
 	}
 	s.answering, s.answered, s.unreachable = true, true, false
 	if s.life.incarnation != incarnation {
-		if former := s.life; former.incarnation != 0 {
-			s.holder.logger.Info("worker_life_began", zap.String("worker", s.target.ID), zap.Int64("incarnation", incarnation), zap.Int64("clock_ms", clockMS),
-				zap.Int64("former_incarnation", former.incarnation), zap.Int64("former_clock_ms", former.clockMS), zap.Int64("former_deadline_ms", former.deadlineMS))
-		}
-		// An earlier holder, or an order on the clock of a former incarnation, may have given the worker
-		// a lease of this duration.
-		s.life = workerLife{incarnation: incarnation, deadlineMS: clockMS + s.holder.node.cfg.LongestLeaseMS}
-		s.expiredMS = 0
+		s.beginLife(incarnation, clockMS)
 	}
 	s.life.clockMS, s.life.clockAt, s.life.heardAt = clockMS, time.Now(), clock.SinceBoot()
+	return true
+}
+
+// beginLife replaces what is known about the former incarnation. s.mu must be held.
+func (s *session) beginLife(incarnation, clockMS int64) {
+	if former := s.life; former.incarnation != 0 {
+		s.holder.logger.Info("worker_life_began", zap.String("worker", s.target.ID), zap.Int64("incarnation", incarnation), zap.Int64("clock_ms", clockMS), zap.Int64("order_token", s.token),
+			zap.Int64("former_incarnation", former.incarnation), zap.Int64("former_clock_ms", former.clockMS), zap.Int64("former_deadline_ms", former.deadlineMS))
+	}
+	// An earlier holder, or an order on the clock of a former incarnation, may have given the worker
+	// a lease of this duration.
+	s.life = workerLife{incarnation: incarnation, deadlineMS: clockMS + s.holder.node.cfg.LongestLeaseMS}
+	s.expiredMS = 0
 }
 
 // deadline returns the time d from now on the worker's clock and records it as sent.
@@ -346,17 +412,18 @@
 	return clockMS < l.clockMS+int64(elapsedMS)-leaseEndMargin.Milliseconds()
 }
 
-// startDeadline returns the deadline of a start that is sent now, and whether one may be
+// startDeadline returns the token and the deadline of a start that is sent now, and whether one may be
 // sent: the worker must answer renewals, or its clock is not known, the term must not have
 // ended nor its release begun, and the lease that the start gives must end before a next holder
 // that does not reach the worker places its tasks elsewhere.
-func (s *session) startDeadline() (deadlineMS int64, ok bool) {
+func (s *session) startDeadline() (token, deadlineMS int64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.answering || s.ctx.Err() != nil || s.holder.isReleasing() || s.holder.sinceConfirmed() >= authorityPeriod+s.leaseDuration()-startWindow {
-		return 0, false
+		return 0, 0, false
 	}
-	return s.life.deadline(startWindow), true
+	s.markEffective()
+	return s.token, s.life.deadline(startWindow), true
 }
 
 // mayRunElsewhere reports whether the worker may be running tasks at a former address, so that
@@ -421,11 +488,11 @@
 		return cell.StartNotSent
 	}
 	defer release()
-	deadlineMS, ok := s.startDeadline()
+	token, deadlineMS, ok := s.startDeadline()
 	if !ok {
 		return cell.StartNotSent
 	}
-	order := StartOrder{Start: a, Token: s.holder.claim.Token, DeadlineMS: deadlineMS}
+	order := StartOrder{Start: a, Token: token, DeadlineMS: deadlineMS}
 	ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
 	defer cancel()
 	life, sentAt := s.lastLife(), time.Now()
@@ -435,7 +502,7 @@
 			zap.Stringer("outcome", outcome), zap.Int64("clock_ms", clockMS), zap.Int64("known_clock_ms", life.clockMS))
 	}
 	if outcome == cell.StartFenced {
-		s.holder.endTerm("worker_fenced")
+		s.handleFenced(token)
 	}
 	return outcome
 }
@@ -444,15 +511,16 @@
 func (s *session) stop(a cell.Stop) {
 	s.holder.node.spawn(func() {
 		for s.ctx.Err() == nil {
-			err := s.tryStop(a)
+			token, err := s.tryStop(a)
 			var c *ControlError
 			switch {
 			case err == nil:
 				s.holder.post(func(sched *cell.Scheduler) { sched.Stopped(a.Worker, a.Task, a.Run) })
 				return
 			case errors.As(err, &c) && c.Failure == ControlFenced:
-				s.holder.endTerm("worker_fenced")
-				return
+				if s.handleFenced(token) {
+					return
+				}
 			case errors.As(err, &c) && c.Failure == ControlReplaced:
 				return // the run has ended with the worker
 			}
@@ -463,17 +531,29 @@
 	})
 }
 
-// tryStop orders a stop once, as soon as a slot is free.
-func (s *session) tryStop(a cell.Stop) error {
+// handleFenced handles the refusal of an order because the worker has seen a higher token, and
+// reports whether it was that of a newer holder, which ends the term. Once the session has ended,
+// the next one with the worker may have a higher token.
+func (s *session) handleFenced(token int64) (endsTerm bool) {
+	if s.isSuperseded(token) || s.ctx.Err() != nil {
+		return false
+	}
+	s.holder.endTerm("worker_fenced")
+	return true
+}
+
+// tryStop orders a stop once, as soon as a slot is free, and returns the token of the order.
+func (s *session) tryStop(a cell.Stop) (token int64, err error) {
 	select {
 	case s.stopSlots <- struct{}{}:
 		defer func() { <-s.stopSlots }()
 	case <-s.ctx.Done():
-		return s.ctx.Err()
+		return 0, s.ctx.Err()
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, stopTimeout)
 	defer cancel()
-	return s.holder.node.platform.Controller.Stop(ctx, s.target, StopOrder{Stop: a, Token: s.holder.claim.Token})
+	token = s.currentToken()
+	return token, s.holder.node.platform.Controller.Stop(ctx, s.target, StopOrder{Stop: a, Token: token})
 }
 
 // throttle sets the CPU share of a task. A failed order is not repeated, because
@@ -482,7 +562,7 @@
 	s.holder.node.spawn(func() {
 		ctx, cancel := context.WithTimeout(s.ctx, stopTimeout)
 		defer cancel()
-		if err := s.holder.node.platform.Controller.Throttle(ctx, s.target, ThrottleOrder{Throttle: a, Token: s.holder.claim.Token}); err != nil {
+		if err := s.holder.node.platform.Controller.Throttle(ctx, s.target, ThrottleOrder{Throttle: a, Token: s.currentToken()}); err != nil {
 			s.holder.logger.Info("pace_failed", zap.String("task", a.Task.String()), zap.String("worker", a.Worker), zap.Error(err))
 			s.holder.post(func(sched *cell.Scheduler) { sched.ThrottleFailed(a) })
 		}
--- a/internal/entry/session_errors_test.go
+++ b/internal/entry/session_errors_test.go
@@ -20,7 +20,7 @@
 func TestLeaseOfSilentWorkerExpiresOnce(t *testing.T) {
 	s := testSession()
 	silent := &ControlError{Failure: ControlUnanswered}
-	s.recordResponse(1, 300_000)
+	s.answer(t, 1, 300_000)
 	posted := eventsOf(s, func() { assert.Assert(t, s.handleRenewalError(silent, 0)) })
 	assert.Equal(t, posted, 1, "that the worker is unreachable")
 	posted = eventsOf(s, func() { assert.Assert(t, s.handleRenewalError(silent, 0)) })
@@ -38,7 +38,7 @@
 // Guards against a former holder that goes on, and against runs of a replaced worker that are never placed again.
 func TestSessionEndsWithItsWorkerOrTerm(t *testing.T) {
 	s := testSession()
-	s.recordResponse(1, 300_000)
+	s.answer(t, 1, 300_000)
 	posted := eventsOf(s, func() { assert.Assert(t, !s.handleRenewalError(&ControlError{Failure: ControlReplaced}, 0)) })
 	assert.Equal(t, posted, 1, "that the worker is replaced")
 	assert.NilError(t, s.ctx.Err())
@@ -52,7 +52,7 @@
 // Guards against the run of a cancelled job that goes on because its stop is not repeated until the worker answers.
 func TestStopIsRepeatedUntilItIsAnswered(t *testing.T) {
 	fleet := newFakeFleet(1)
-	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{Controller: fleet}), 0), claim{Term: 1}, 0)
+	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{Controller: fleet}), 0), claim{Term: 1, Token: 1}, 0)
 	s := newSession(h, Target{ID: "w0", Address: "w0"})
 	fleet.setSilent("w0", true)
 	s.stop(cell.Stop{Worker: "w0"})
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -36,22 +36,30 @@
 // testSession returns a session without a worker.
 func testSession() *session {
 	a := newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{}), 0)
-	return newSession(newHolder(a, claim{Holder: "a", Term: 1}, 0), Target{ID: "w", Address: "w"})
+	h := newHolder(a, claim{Holder: "a", Term: 1, Token: 1}, 0)
+	h.tokens.extend(100)
+	return newSession(h, Target{ID: "w", Address: "w"})
+}
+
+// answer has an incarnation of the worker answer renewals until the session uses the listing.
+func (s *session) answer(t *testing.T, incarnation, clockMS int64) {
+	t.Helper()
+	eventually(t, "a listing that is used", func() bool { return s.recordResponse(s.nextRenewal().Token, incarnation, clockMS) })
 }
 
 // Guards against numbers of a former life in renewals, also if ends are acknowledged late.
 func TestRenewalsCarryNothingOfAFormerLife(t *testing.T) {
 	s := testSession()
-	assert.Equal(t, s.nextRenewal(), LeaseRenewal{}, "the worker's life is not known yet")
-	s.recordResponse(1, 300_000)
+	assert.Equal(t, s.nextRenewal(), LeaseRenewal{Token: 1}, "the worker's life is not known yet")
+	s.answer(t, 1, 300_000)
 	s.acknowledge(1, 370)
 	assert.Equal(t, s.nextRenewal().Acknowledged, uint64(370))
 	assert.Assert(t, s.nextRenewal().DeadlineMS >= 306_000)
 
 	s.setUnreachable()
-	assert.Equal(t, s.nextRenewal(), LeaseRenewal{}, "the worker may have restarted")
+	assert.Equal(t, s.nextRenewal(), LeaseRenewal{Token: 1}, "the worker may have restarted")
 	s.acknowledge(1, 371)
-	s.recordResponse(2, 100)
+	s.answer(t, 2, 100)
 	s.acknowledge(1, 372)
 	r := s.nextRenewal()
 	assert.Equal(t, r.Acknowledged, uint64(0))
@@ -60,14 +68,14 @@
 	assert.Equal(t, s.nextRenewal().Acknowledged, uint64(1))
 
 	s.setUnreachable()
-	s.recordResponse(2, 5000)
+	s.answer(t, 2, 5000)
 	assert.Equal(t, s.nextRenewal().Acknowledged, uint64(1), "the worker has not restarted")
 }
 
 // Guards against a worker that restarts unnoticed while this VM is suspended.
 func TestSuspensionStopsAcknowledgements(t *testing.T) {
 	s := testSession()
-	s.recordResponse(1, 300_000)
+	s.answer(t, 1, 300_000)
 	s.acknowledge(1, 370)
 	s.life.heardAt = clock.SinceBoot() - acknowledgeWindow
 	assert.Equal(t, s.nextRenewal().Acknowledged, uint64(0))
@@ -77,7 +85,7 @@
 func TestStartIsNotSentToAnUnknownLife(t *testing.T) {
 	s := testSession()
 	assert.Equal(t, s.tryStart(cell.Start{}), cell.StartNotSent)
-	s.recordResponse(1, 300_000)
+	s.answer(t, 1, 300_000)
 	s.setUnreachable()
 	assert.Equal(t, s.tryStart(cell.Start{}), cell.StartNotSent)
 }
@@ -85,10 +93,10 @@
 // Guards against a lease that seems to last as long as the worker was up before it restarted.
 func TestLeaseEndsOnTheClockOfThePresentLife(t *testing.T) {
 	s := testSession()
-	s.recordResponse(1, 300_000)
+	s.answer(t, 1, 300_000)
 	s.nextRenewal()
 	s.setUnreachable()
-	s.recordResponse(2, 100)
+	s.answer(t, 2, 100)
 	end, known := s.leaseEnd()
 	assert.Assert(t, known, "an earlier holder may have given the worker a lease")
 	left := time.Until(end)
@@ -101,24 +109,24 @@
 // Guards against a holder without the log that prolongs leases by starts the next one does not wait for.
 func TestStartsEndWithTheAuthority(t *testing.T) {
 	s := testSession()
-	s.recordResponse(1, 300_000)
+	s.answer(t, 1, 300_000)
 	lease := 6 * time.Second
 	s.holder.confirmedAt = clock.SinceBoot() - authorityPeriod
-	deadlineMS, ok := s.startDeadline()
+	_, deadlineMS, ok := s.startDeadline()
 	assert.Assert(t, ok, "an outage of the log that is usual must not keep tasks from starting")
 	assert.Assert(t, deadlineMS < 300_000+(startWindow+time.Second).Milliseconds())
 	s.holder.confirmedAt = clock.SinceBoot() - authorityPeriod - lease + startWindow
-	_, ok = s.startDeadline()
+	_, _, ok = s.startDeadline()
 	assert.Assert(t, !ok)
 	assert.Equal(t, s.tryStart(cell.Start{}), cell.StartNotSent)
 }
 
 // Guards against starts that a holder sends after its term has ended, such as those that waited for a slot.
 func TestNoStartIsSentAfterTheTerm(t *testing.T) {
-	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{Controller: newFakeFleet(1)}), 0), claim{Term: 1}, 0)
+	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{Controller: newFakeFleet(1)}), 0), claim{Term: 1, Token: 1}, 0)
 	fleet := h.node.platform.Controller.(*fakeFleet)
 	s := newSession(h, Target{ID: "w0", Address: "w0"})
-	s.recordResponse(1, fakeClockMS())
+	s.answer(t, 1, fakeClockMS())
 	h.endTerm("claim_superseded")
 	for range 50 {
 		s.tryStart(cell.Start{Worker: "w0"})
@@ -128,10 +136,10 @@
 
 // Guards against starts that a holder sends after a planned release of the cell has begun.
 func TestNoStartIsSentDuringRelease(t *testing.T) {
-	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{Controller: newFakeFleet(1)}), 0), claim{Term: 1}, 0)
+	h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{Controller: newFakeFleet(1)}), 0), claim{Term: 1, Token: 1}, 0)
 	fleet := h.node.platform.Controller.(*fakeFleet)
 	s := newSession(h, Target{ID: "w0", Address: "w0"})
-	s.recordResponse(1, fakeClockMS())
+	s.answer(t, 1, fakeClockMS())
 	close(h.releasing)
 	s.tryStart(cell.Start{Worker: "w0"})
 	assert.Equal(t, fleet.started(), 0)
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -81,6 +81,7 @@
 		newEnd, err := h.agent.claims.append(h.ctx, next, end)
 		if err == nil {
 			end = newEnd
+			h.tokens.extend(end)
 			h.renewals.Store(next.Renewals)
 			h.confirmClaim(sent, next.Lanes)
 			continue
@@ -91,6 +92,7 @@
 				return
 			}
 			end = at
+			h.tokens.extend(end)
 			if isEndMismatch(err) {
 				h.confirmClaim(sent, newest.Lanes) // an earlier renewal was carried out late
 			}
