Notice that a worker has restarted by the clock in its answers to starts

Callers saw a task run twice. A renewal waits at its worker for up to 1.5 s and times out after 2.2 s. When the worker restarts meanwhile, the holder went on to send starts, and the new incarnation carried them out. If it was cut off before the renewal timed out, the holder reckoned with the lease of the former incarnation and placed the tasks elsewhere while they ran on under a lease that was up to 2.2 s younger. Until then each start also went to a worker whose clock, capacity and runs the holder did not know.

The answer to a start carries the worker's clock. One that is behind the known clock is of another incarnation: the session then takes the next token, ends the renewal in progress and lists the new incarnation at once. The lease of what was started there counts for the longest time that the worker allows.

Ruled out: the longest lease from the first listing alone, as that listing may never come.

--- a/internal/entry/former_life_test.go
+++ b/internal/entry/former_life_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,7 +131,7 @@
 	s.acknowledge(1, 370)
 	sent := s.nextRenewal()
 	assert.Assert(t, !s.recordResponse(sent.Token, 2, 100), "answered by the new life")
-	_, _, ok := s.startDeadline()
+	_, ok := s.prepareStart()
 	assert.Assert(t, !ok, "a start on a life that the session does not know")
 	next := s.nextRenewal()
 	assert.Equal(t, next, LeaseRenewal{Token: sent.Token + 1}, "without numbers of a former life")
@@ -186,3 +187,66 @@
 	_, ok = tokens.after(next)
 	assert.Assert(t, !ok)
 }
+
+// lossyFleet carries out renewals and starts only, or loses their answers, as it is set.
+type lossyFleet struct {
+	*fakeFleet
+	loseRenewals atomic.Bool // they get no answer and have no effect
+	loseStarts   atomic.Bool // they are carried out and get no answer
+}
+
+func (f *lossyFleet) RenewLease(ctx context.Context, t Target, r LeaseRenewal) (LeaseRenewalResult, error) {
+	if f.loseRenewals.Load() && t.ID == "w0" {
+		<-ctx.Done()
+		return LeaseRenewalResult{}, &ControlError{Failure: ControlUnanswered}
+	}
+	return f.fakeFleet.RenewLease(ctx, t, r)
+}
+
+func (f *lossyFleet) Start(ctx context.Context, t Target, o StartOrder) (cell.StartOutcome, int64) {
+	outcome, clockMS := f.fakeFleet.Start(ctx, t, o)
+	if f.loseStarts.Load() && t.ID == "w0" {
+		<-ctx.Done()
+		return cell.StartUnanswered, 0
+	}
+	return outcome, clockMS
+}
+
+// startOnUnlistedLife has the first worker restart while a renewal waits at its former life, and a task
+// started on the new one 1.2 s later, which the holder has not listed.
+func startOnUnlistedLife(t *testing.T, loseStart bool) (view *lossyFleet, h *holder, all []cell.WorkerInfo) {
+	t.Helper()
+	fleet, all := oldFleet(2, 6000)
+	view = &lossyFleet{fakeFleet: fleet}
+	n := startMuted(t, fleet, view)
+	eventually(t, "a holder", n.holds)
+	eventually(t, "renewals", func() bool { return fleet.renewed() > 3 })
+	view.loseRenewals.Store(true)
+	view.loseStarts.Store(loseStart)
+	time.Sleep(400 * time.Millisecond) // the renewals before have been answered
+	fleet.restart("w0")
+	time.Sleep(800 * time.Millisecond)
+	submitLong(t, n)
+	eventually(t, "a start", func() bool { return fleet.started() == 1 })
+	h, _, _ = n.agents()[0].route()
+	return view, h, all
+}
+
+// Guards against a task that runs twice because its worker restarted and was cut off before the holder listed it.
+func TestRunOfAnUnlistedLifeIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	view, h, all := startOnUnlistedLife(t, false)
+	view.setSilent("w0", true)
+	h.setWorkers(all)
+	eventually(t, "the next start", func() bool { return view.started() == 2 })
+	assert.Equal(t, len(view.startedTwice()), 0)
+}
+
+// Guards against starts that go on to a worker that has restarted, until the renewal at its former life times out.
+func TestAnswerOfAnotherLifeEndsTheRenewal(t *testing.T) {
+	t.Parallel()
+	view, h, _ := startOnUnlistedLife(t, false)
+	view.loseRenewals.Store(false)
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, sessionOf(h, "w0").lastLife().incarnation, int64(2))
+}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -84,6 +84,10 @@
 	answering   bool // the last renewal was answered, so that life is the present one
 	answered    bool // a renewal was answered at the address of the target
 	unreachable bool // the last renewal was not answered
+	// otherLifeUntil is when the lease ends, at the latest, of an incarnation that has answered a start
+	// and has not been listed; zero if there is none.
+	otherLifeUntil time.Time
+	abortRenewal   context.CancelFunc // ends the renewal in progress
 	// expiredMS is the deadline of the lease whose end this session reported last, on the
 	// worker's clock; 0 if it has reported none of this incarnation.
 	expiredMS int64
@@ -105,7 +109,7 @@
 
 func newSession(h *holder, target Target) *session {
 	ctx, cancel := context.WithCancel(h.ctx)
-	s := &session{holder: h, target: target, ctx: ctx, cancel: cancel, startSlots: make(chan struct{}, maxConcurrentStarts), stopSlots: make(chan struct{}, maxConcurrentStops)}
+	s := &session{holder: h, target: target, ctx: ctx, cancel: cancel, startSlots: make(chan struct{}, maxConcurrentStarts), stopSlots: make(chan struct{}, maxConcurrentStops), abortRenewal: func() {}}
 	s.token, s.effective = h.tokens.first()
 	return s
 }
@@ -113,10 +117,12 @@
 // inherit makes the session continue another one with the worker, at a former address. The lease
 // of the known incarnation may be in force until the worker answers.
 func (s *session) inherit(old *session) {
-	life, token := old.lastLife(), old.currentToken()
+	old.mu.Lock()
+	life, token, otherLifeUntil := old.life, old.token, old.otherLifeUntil
+	old.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.life, s.token, s.effective = life, token, true
+	s.life, s.token, s.effective, s.otherLifeUntil = life, token, true, otherLifeUntil
 }
 
 // run renews the worker's lease and passes its listings to the scheduler, until the
@@ -227,15 +233,18 @@
 // response after hedgeDelay: a lost packet would otherwise delay the first listing, for
 // which all tasks of older jobs wait after a takeover.
 func (s *session) renew(r LeaseRenewal) (LeaseRenewalResult, error) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	s.mu.Lock()
+	s.abortRenewal = cancel
+	s.mu.Unlock()
 	if s.isAnswering() {
-		return s.renewOnce(s.ctx, r)
+		return s.renewOnce(ctx, r)
 	}
 	type response struct {
 		result LeaseRenewalResult
 		err    error
 	}
-	ctx, cancel := context.WithCancel(s.ctx)
-	defer cancel()
 	responses := make(chan response, 2)
 	call := func() {
 		s.holder.spawn("the first renewal to a worker", func() {
@@ -255,8 +264,8 @@
 			if open--; got.err == nil || open == 0 {
 				return got.result, got.err
 			}
-		case <-s.ctx.Done():
-			return LeaseRenewalResult{}, s.ctx.Err()
+		case <-ctx.Done():
+			return LeaseRenewalResult{}, ctx.Err()
 		}
 	}
 }
@@ -379,6 +388,7 @@
 		s.holder.logger.Info("worker_regained", zap.String("worker", s.target.ID))
 	}
 	s.answering, s.answered, s.unreachable = true, true, false
+	s.otherLifeUntil = time.Time{}
 	if s.life.incarnation != incarnation {
 		s.beginLife(incarnation, clockMS)
 	}
@@ -398,6 +408,23 @@
 	s.expiredMS = 0
 }
 
+// recordOtherLife records that a start was answered by an incarnation after the one that it was meant
+// for. It ends the renewal in progress, which may wait at the former one, so that the new one is
+// listed next.
+func (s *session) recordOtherLife(met startTerms) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.life.incarnation != met.life.incarnation {
+		return // the new one has been listed meanwhile
+	}
+	longest := time.Duration(maxLeaseDurationMS(s.holder.node.cfg.LongestLeaseMS)) * time.Millisecond
+	s.otherLifeUntil = time.Now().Add(longest + leaseEndMargin)
+	if s.token == met.token {
+		s.advance()
+		s.abortRenewal()
+	}
+}
+
 // deadline returns the time d from now on the worker's clock and records it as sent.
 func (l *workerLife) deadline(d time.Duration) int64 {
 	at := l.clockMS + time.Since(l.clockAt).Milliseconds() + d.Milliseconds()
@@ -412,18 +439,27 @@
 	return clockMS < l.clockMS+int64(elapsedMS)-leaseEndMargin.Milliseconds()
 }
 
-// startDeadline returns the token and the deadline of a start that is sent now, and whether one may be
-// sent: the worker must answer renewals, or its clock is not known, the term must not have
-// ended nor its release begun, and the lease that the start gives must end before a next holder
-// that does not reach the worker places its tasks elsewhere.
-func (s *session) startDeadline() (token, deadlineMS int64, ok bool) {
+// startTerms are the token and the deadline of a start, and the incarnation that it is meant for.
+type startTerms struct {
+	token      int64
+	deadlineMS int64
+	life       workerLife
+	sentAt     time.Time
+}
+
+// prepareStart returns the terms of a start that is sent now, and whether one may be sent: the worker
+// must answer renewals, or its clock is not known, the term must not have ended nor its release
+// begun, and the lease that the start gives must end before a next holder that does not reach the
+// worker places its tasks elsewhere.
+func (s *session) prepareStart() (startTerms, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.answering || s.ctx.Err() != nil || s.holder.isReleasing() || s.holder.sinceConfirmed() >= authorityPeriod+s.leaseDuration()-startWindow {
-		return 0, 0, false
+		return startTerms{}, false
 	}
 	s.markEffective()
-	return s.token, s.life.deadline(startWindow), true
+	deadlineMS := s.life.deadline(startWindow)
+	return startTerms{s.token, deadlineMS, s.life, time.Now()}, true
 }
 
 // mayRunElsewhere reports whether the worker may be running tasks at a former address, so that
@@ -455,7 +491,11 @@
 		return time.Time{}, false
 	}
 	left := time.Duration(maxLeaseDurationMS(s.life.deadlineMS-s.life.clockMS)) * time.Millisecond
-	return s.life.clockAt.Add(left + leaseEndMargin), true
+	end := s.life.clockAt.Add(left + leaseEndMargin)
+	if s.otherLifeUntil.After(end) {
+		end = s.otherLifeUntil
+	}
+	return end, true
 }
 
 // acquireStartSlot waits up to startSlotTimeout for a slot to send a start, and reports
@@ -488,21 +528,21 @@
 		return cell.StartNotSent
 	}
 	defer release()
-	token, deadlineMS, ok := s.startDeadline()
+	terms, ok := s.prepareStart()
 	if !ok {
 		return cell.StartNotSent
 	}
-	order := StartOrder{Start: a, Token: token, DeadlineMS: deadlineMS}
+	order := StartOrder{Start: a, Token: terms.token, DeadlineMS: terms.deadlineMS}
 	ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
 	defer cancel()
-	life, sentAt := s.lastLife(), time.Now()
 	outcome, clockMS := s.holder.node.platform.Controller.Start(ctx, s.target, order)
-	if clockMS > 0 && life.isOther(clockMS, sentAt) {
+	if clockMS > 0 && terms.life.isOther(clockMS, terms.sentAt) {
 		s.holder.logger.Warn("start_met_other_life", zap.String("worker", s.target.ID), zap.String("task", a.Task.String()), zap.Uint32("run", a.Run),
-			zap.Stringer("outcome", outcome), zap.Int64("clock_ms", clockMS), zap.Int64("known_clock_ms", life.clockMS))
+			zap.Stringer("outcome", outcome), zap.Int64("clock_ms", clockMS), zap.Int64("known_clock_ms", terms.life.clockMS))
+		s.recordOtherLife(terms)
 	}
 	if outcome == cell.StartFenced {
-		s.handleFenced(token)
+		s.handleFenced(terms.token)
 	}
 	return outcome
 }
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -112,11 +112,11 @@
 	s.answer(t, 1, 300_000)
 	lease := 6 * time.Second
 	s.holder.confirmedAt = clock.SinceBoot() - authorityPeriod
-	_, deadlineMS, ok := s.startDeadline()
+	terms, ok := s.prepareStart()
 	assert.Assert(t, ok, "an outage of the log that is usual must not keep tasks from starting")
-	assert.Assert(t, deadlineMS < 300_000+(startWindow+time.Second).Milliseconds())
+	assert.Assert(t, terms.deadlineMS < 300_000+(startWindow+time.Second).Milliseconds())
 	s.holder.confirmedAt = clock.SinceBoot() - authorityPeriod - lease + startWindow
-	_, _, ok = s.startDeadline()
+	_, ok = s.prepareStart()
 	assert.Assert(t, !ok)
 	assert.Equal(t, s.tryStart(cell.Start{}), cell.StartNotSent)
 }
