Keep tasks of unanswered starts until no incarnation can run them

A start that gets no answer may have been carried out by an incarnation of its worker that the holder never listed: the worker restarted, took the start on its new clock and was cut off. The holder placed the task elsewhere when the lease of the known incarnation had expired, while the new one ran it for up to the longest lease.

When the lease of the known incarnation expires, starts without an answer stay open until the longest lease after the worker stopped answering has passed, and the holder is confirmed after that. Answered runs are placed again at once, as before: their incarnation is known, or its answer has lengthened the lease that is reckoned.

Ruled out: waiting for all tasks of the worker, as nearly every crash leaves a start unanswered. An order that the worker itself carries out more than half a second after it stopped answering is not covered; its delay has no stated limit.

--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -70,9 +70,55 @@
 // run something.
 func (s *Scheduler) HasWorker(workerID string) bool { return s.workers[workerID] != nil }
 
-// LeaseExpired reports that a worker's lease has expired, so that nothing started
-// before can still run there. Its tasks are placed again.
-func (s *Scheduler) LeaseExpired(workerID string) { s.runsGone(workerID, reconciledLeaseExpired) }
+// LeaseExpired reports that the lease of a worker's known incarnation has expired, so that nothing
+// that it has answered can still run there. These tasks are placed again. A start without an answer may
+// have been carried out by a later incarnation, which the holder has not listed: the lease there ends
+// Config.LongestLeaseMS after the start at the latest, and the task is placed again then.
+func (s *Scheduler) LeaseExpired(workerID string) {
+	if w := s.workers[workerID]; w != nil && w.hasUnansweredStart() {
+		silentSince := s.now
+		if w.unreachable {
+			silentSince = w.silentSince
+		}
+		w.unansweredUntil = silentSince + unansweredOrderMS + Instant(s.cfg.LongestLeaseMS)
+		s.unanswered[w] = true
+	}
+	s.runsGone(workerID, reconciledLeaseExpired)
+}
+
+// unansweredOrderMS is how long after a worker has stopped answering an order that was sent before may
+// reach it, in ms. Starts time out after 400 ms.
+const unansweredOrderMS = 500
+
+// hasUnansweredStart reports whether a start was sent that the worker has not answered, nor its stop.
+func (w *worker) hasUnansweredStart() bool {
+	for _, a := range w.attempts {
+		if a.isUnanswered() {
+			return true
+		}
+	}
+	return false
+}
+
+// isUnanswered reports whether the worker has answered neither the start nor a stop of the attempt.
+func (a *attempt) isUnanswered() bool { return !a.accepted && a.confirmed == 0 }
+
+// releaseUnanswered has the tasks of unanswered starts placed again that can run nowhere any more.
+func (s *Scheduler) releaseUnanswered() {
+	for w := range s.unanswered {
+		if min(s.now, s.confirmed) >= w.unansweredUntil {
+			s.forgetUnanswered(w)
+			s.closeAttempts(w)
+			s.removeIfGone(w)
+		}
+	}
+}
+
+// forgetUnanswered ends the wait for starts that a worker has not answered.
+func (s *Scheduler) forgetUnanswered(w *worker) {
+	w.unansweredUntil = 0
+	delete(s.unanswered, w)
+}
 
 // runsGone has the tasks of a worker placed again that can run nothing any more.
 func (s *Scheduler) runsGone(workerID, how string) {
@@ -96,6 +142,7 @@
 func (s *Scheduler) WorkerReplaced(workerID string, renewalSentAt Instant) {
 	if w := s.workers[workerID]; w != nil {
 		s.recordLostRuns(w, renewalSentAt)
+		s.forgetUnanswered(w)
 	}
 	s.runsGone(workerID, reconciledReplaced)
 	s.confirmCrash(workerID)
@@ -109,9 +156,13 @@
 	s.rosterDirty = true
 }
 
-// closeAttempts closes all attempts of a worker that runs nothing any more.
+// closeAttempts closes the attempts of a worker that runs nothing any more, but for starts without an
+// answer that are waited for.
 func (s *Scheduler) closeAttempts(w *worker) {
 	for _, a := range w.attempts {
+		if a.isUnanswered() && s.now < w.unansweredUntil {
+			continue
+		}
 		s.closeAttempt(a)
 		s.retryAfterLoss(a)
 	}
@@ -138,6 +189,7 @@
 		w.fenced = true
 	}
 	w.unreachable = false
+	s.forgetUnanswered(w)
 	s.uncordon(w, l.RequestedAt)
 	s.resolveLostRuns(w.ID, l.Incarnation)
 	s.updateClosed(w)
--- a/internal/cell/rig_test.go
+++ b/internal/cell/rig_test.go
@@ -49,7 +49,7 @@
 
 // takeOver replaces the Scheduler with that of a new holder, restored from the log.
 func (r *rig) takeOver(term uint32) {
-	r.s = New(Config{Term: term - 1, RestoreUntil: r.now + 12000, RemoteDataFactor: 3, KeepEndedMS: 120000, StopTimeoutMS: 400})
+	r.s = New(Config{Term: term - 1, RestoreUntil: r.now + 12000, RemoteDataFactor: 3, KeepEndedMS: 120000, StopTimeoutMS: 400, LongestLeaseMS: 6200})
 	r.s.Tick(r.now, r.unixMS)
 	var records []Record
 	for key, value := range r.log {
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -35,6 +35,9 @@
 // at the given time. It gets no tasks until its next listing; its runs continue.
 func (s *Scheduler) WorkerUnreachable(workerID string, renewalSentAt Instant) {
 	if w := s.workers[workerID]; w != nil {
+		if !w.unreachable {
+			w.silentSince = s.now
+		}
 		w.unreachable = true
 		s.recordLostRuns(w, renewalSentAt)
 		s.updateClosed(w)
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -146,20 +146,24 @@
 type worker struct {
 	WorkerInfo
 	life
-	idHash       uint64    // hash of the ID
-	registered   bool      // in the platform's registry
-	fenced       bool      // has sent a listing to this holder, and so rejects earlier holders
-	used         Resources // by attempts
-	attempts     map[runKey]*attempt
-	health       health
-	speed        speed
-	cordoned     bool          // excluded from placement during maintenance of its VM
-	undrainedAt  Instant       // when Undrain was called, until the next listing; 0 if it was not
-	unreachable  bool          // has not answered since a renewal of its lease failed
-	listedClosed bool          // the newest roster lists the worker as closed
-	leavesAt     Instant       // when a draining worker may leave; 0 if unknown
-	trial        *attempt      // of a suspected task; no other step may start tasks meanwhile
-	reservations []reservation // made in the current placement pass
+	idHash      uint64    // hash of the ID
+	registered  bool      // in the platform's registry
+	fenced      bool      // has sent a listing to this holder, and so rejects earlier holders
+	used        Resources // by attempts
+	attempts    map[runKey]*attempt
+	health      health
+	speed       speed
+	cordoned    bool    // excluded from placement during maintenance of its VM
+	undrainedAt Instant // when Undrain was called, until the next listing; 0 if it was not
+	unreachable bool    // has not answered since a renewal of its lease failed
+	silentSince Instant // when that renewal failed
+	// unansweredUntil is when the starts without an answer can run nowhere any more, once the lease
+	// of the known incarnation has expired; 0 before.
+	unansweredUntil Instant
+	listedClosed    bool          // the newest roster lists the worker as closed
+	leavesAt        Instant       // when a draining worker may leave; 0 if unknown
+	trial           *attempt      // of a suspected task; no other step may start tasks meanwhile
+	reservations    []reservation // made in the current placement pass
 	// rosterSeq is the sequence number of the roster record that contains the worker as
 	// open: 0 if an earlier holder wrote it, notInRoster if the worker needs none.
 	rosterSeq uint64
@@ -246,6 +250,8 @@
 	KeepEndedMS int64
 	// StopTimeoutMS is the maximum time in ms that a worker takes to stop a run.
 	StopTimeoutMS int64
+	// LongestLeaseMS is the longest time that the lease of a worker can last on this process's clock, in ms.
+	LongestLeaseMS int64
 }
 
 // Scheduler makes the placement decisions of one cell. It is not safe for concurrent
@@ -289,6 +295,7 @@
 	// workersVersion changes whenever a worker may have become suitable for a step or begins
 	// another life. What a step has concluded from all workers holds for one version only.
 	workersVersion uint64
+	unanswered     map[*worker]bool     // workers whose unansweredUntil is set
 	lost           map[string]*lostRuns // runs of workers that have stopped answering, by worker ID
 	trials         []*attempt           // runs of suspected tasks
 	callQueue      []*permitCall        // waiting for a caller
@@ -305,6 +312,7 @@
 		jobs:          map[string]*job{},
 		workers:       map[string]*worker{},
 		unstored:      map[*worker]bool{},
+		unanswered:    map[*worker]bool{},
 		unreconciled:  map[string]*unreconciledWorker{},
 		lost:          map[string]*lostRuns{},
 		dropped:       map[string]bool{},
@@ -342,6 +350,7 @@
 		s.dropDrained()
 		s.throttleFillers()
 		s.confirmGone()
+		s.releaseUnanswered()
 		s.reportWaits()
 	}
 	s.checkTrials()
--- /dev/null
+++ b/internal/cell/unanswered_test.go
@@ -0,0 +1,104 @@
+package cell
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// unansweredRig returns a rig in which one of two full workers has stopped answering, with a run that it has confirmed and
+// a start that it has not answered. The other one has room for both tasks.
+func unansweredRig(t *testing.T) (r *rig, silent string) {
+	t.Helper()
+	r = newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	half := Step{Tasks: 1, Resources: Resources{CPUMilli: 500}, EstimateMS: 60_000}
+	r.submit(oneStep(jobID(1), half))
+	silent = r.starts[0].Worker
+	other := "w00"
+	if silent == other {
+		other = "w01"
+	}
+	r.advance(10)
+	r.s.workers[other].avoidUntil = r.now + 50 // the next task goes to the same worker
+	r.workers[silent].unreachable = true
+	r.submit(oneStep(jobID(2), half))
+	assert.Equal(t, r.starts[1].Worker, silent)
+	r.advance(400)
+	r.s.Started(silent, r.starts[1].Task, r.starts[1].Run, StartUnanswered)
+	r.s.WorkerUnreachable(silent, r.now)
+	r.advance(10)
+	return r, silent
+}
+
+// startsAgain reports whether the task of the unanswered start is started again within 2 s.
+func (r *rig) startsAgain() bool {
+	for range 20 {
+		r.advance(100)
+	}
+	return r.startedTasks()[r.starts[1].Task.String()] == 2
+}
+
+// Guards against a task that runs twice because its worker restarted, carried out a start that got no answer, and was cut off.
+func TestUnansweredStartOutlivesTheKnownLease(t *testing.T) {
+	r, silent := unansweredRig(t)
+	r.s.LeaseExpired(silent)
+	r.advance(searchIntervalMS)
+	assert.Equal(t, r.startedTasks()[r.starts[0].Task.String()], 2, "the confirmed run ended with the lease")
+	for range 60 {
+		r.advance(100)
+	}
+	assert.Equal(t, r.startedTasks()[r.starts[1].Task.String()], 1, "it may be running on the next incarnation")
+	for range 10 {
+		r.advance(100)
+	}
+	assert.Equal(t, r.startedTasks()[r.starts[1].Task.String()], 2, "the longest lease has ended")
+}
+
+// Guards against a task that runs twice because a holder that may have a successor takes an unanswered start for expired.
+func TestUnansweredStartWaitsForTheConfirmation(t *testing.T) {
+	r, silent := unansweredRig(t)
+	r.s.LeaseExpired(silent)
+	r.logDown = true
+	for range 100 {
+		r.advance(100)
+	}
+	assert.Equal(t, r.startedTasks()[r.starts[1].Task.String()], 1)
+	assert.Equal(t, len(r.s.workers[silent].attempts), 1)
+	r.logDown = false
+	r.advance(checkIntervalMS)
+	assert.Equal(t, len(r.s.workers[silent].attempts), 0)
+}
+
+// Guards against a task that waits although its worker answers again, or another worker at its address.
+func TestWaitForUnansweredStartEndsWithAnAnswer(t *testing.T) {
+	r, silent := unansweredRig(t)
+	r.s.LeaseExpired(silent)
+	r.advance(10)
+	r.s.WorkerReplaced(silent, r.now)
+	assert.Assert(t, r.startsAgain())
+
+	r, silent = unansweredRig(t)
+	r.s.LeaseExpired(silent)
+	r.advance(10)
+	*r.workers[silent] = fakeWorker{incarnation: 1}
+	r.advance(10)
+	r.s.Stopped(silent, r.starts[1].Task, r.starts[1].Run) // the session repeats the stop
+	assert.Assert(t, r.startsAgain())
+}
+
+// Guards against accounting for ever of a worker that has left and did not answer a start.
+func TestWorkerWithUnansweredStartIsRemoved(t *testing.T) {
+	r, silent := unansweredRig(t)
+	r.s.LeaseExpired(silent)
+	for i, info := range r.infos {
+		if info.ID != silent {
+			r.infos = r.infos[i : i+1]
+			break
+		}
+	}
+	r.s.SetWorkers(r.infos)
+	r.advance(1000)
+	assert.Assert(t, r.s.HasWorker(silent))
+	r.advance(7000)
+	assert.Assert(t, !r.s.HasWorker(silent))
+}
--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -79,6 +79,7 @@
 		RemoteDataFactor: cfg.RemoteDataFactor,
 		KeepEndedMS:      cfg.KeepEndedMS,
 		StopTimeoutMS:    cfg.StopTimeoutMS,
+		LongestLeaseMS:   maxLeaseDurationMS(cfg.LongestLeaseMS),
 	})
 	h.sched.Tick(h.now(), time.Now().UnixMilli())
 	skipped := h.sched.Restore(records)
