Keep runs that the first listing of a new incarnation names

A start that a worker carries out after it has restarted, and before the holder has listed its new incarnation, counted as lost with the former one: its gang was stopped, and the task was suspected of a crash and then started on trial only. The listing names the run, so it was not on the incarnation that crashed: it goes on, and no crash is counted for it.

--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -140,6 +140,22 @@
 	}
 }
 
+// discountListedRuns takes back the crashes that were counted for runs which the next incarnation of
+// the worker lists: they did not run on the one that crashed.
+func (s *Scheduler) discountListedRuns(workerID string, listed map[runKey]bool) {
+	l := s.lost[workerID]
+	if l == nil {
+		return
+	}
+	l.runs = slices.DeleteFunc(l.runs, func(r lostRun) bool {
+		if !listed[runKey{r.task.id(), r.run}] {
+			return false
+		}
+		s.discountCrash(r)
+		return true
+	})
+}
+
 // discountCrash takes back the crash that was counted for a lost run.
 func (s *Scheduler) discountCrash(r lostRun) {
 	r.task.closeCrash(r.run)
--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -181,3 +181,23 @@
 	r.advance(2 * searchIntervalMS)
 	assert.Equal(t, len(r.starts), 1)
 }
+
+// Guards against a gang that is stopped, and a task suspected of a crash, because a run that the new life of its worker carries counts as one of the former life.
+func TestRunThatTheNewLifeListsGoesOn(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.advance(10)
+	for id := range r.workers {
+		r.workers[id].incarnation++ // not noticed by the holder
+	}
+	r.s.Tick(r.now+10, r.unixMS)
+	r.now += 10
+	r.submit(oneStep(jobID(1), Step{Tasks: 2, Gang: true, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+	assert.Equal(t, len(r.starts), 2)
+	r.advance(10)
+	r.advance(searchIntervalMS)
+	assert.Equal(t, len(r.stops), 0)
+	assert.Equal(t, len(r.starts), 2)
+	for _, start := range r.starts {
+		assert.Equal(t, r.s.task(start.Task).crashes, crashes{})
+	}
+}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -181,7 +181,9 @@
 	if w.fenced && w.incarnation != l.Incarnation {
 		s.emit(LogEvent{Event: EventWorkerRestarted, Failed: true, Worker: w.ID, AgeMS: int64(len(w.attempts))})
 		s.recordLostRuns(w, l.RequestedAt)
-		s.closeFormerAttempts(w, l.RequestedAt)
+		listed := l.runs()
+		s.discountListedRuns(w.ID, listed)
+		s.closeFormerAttempts(w, listed, l.RequestedAt)
 		s.beginLife(w, l.Incarnation)
 	}
 	if !w.fenced {
@@ -229,13 +231,27 @@
 	s.freed = append(s.freed, w)
 }
 
+// runs returns the runs that a listing names.
+func (l *Listing) runs() map[runKey]bool {
+	runs := make(map[runKey]bool, len(l.Running)+len(l.Ended))
+	for i := range l.Running {
+		runs[runKey{l.Running[i].Task, l.Running[i].Run}] = true
+	}
+	for i := range l.Ended {
+		runs[runKey{l.Ended[i].Task, l.Ended[i].Run}] = true
+	}
+	return runs
+}
+
 // closeFormerAttempts closes the attempts of a worker's former incarnation, after the
-// first listing of the next one. The next one may still carry out a start that it has not
+// first listing of the next one, which names the given runs: it has carried out their starts
+// before it was listed. The next one may still carry out a start that it has not
 // answered, or that it answered after the listing was requested: these attempts stay open
 // until a stop is answered or a later listing lacks them.
-func (s *Scheduler) closeFormerAttempts(w *worker, requestedAt Instant) {
-	for _, a := range w.attempts {
+func (s *Scheduler) closeFormerAttempts(w *worker, listed map[runKey]bool, requestedAt Instant) {
+	for key, a := range w.attempts {
 		switch {
+		case listed[key]:
 		case a.confirmed != 0 && a.confirmed < requestedAt:
 			s.closeAttempt(a)
 			s.retryAfterLoss(a)
