Count crashes from the renewal that a restart interrupted

Since a session lists a restarted worker at once, the scheduler judged by the time of that listing which runs may have ended before the crash. Runs past half of their estimate seemed to, so a task that crashes its workers was not suspected. The renewal before it had waited at the former incarnation and would have answered with each end: its time counts again.

--- a/internal/entry/former_life_test.go
+++ b/internal/entry/former_life_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
@@ -283,3 +284,29 @@
 	assert.Assert(t, s.isAnswering())
 	assert.Equal(t, s.nextRenewal().Token, token+1)
 }
+
+// Guards against a task that crashes its workers and is not suspected, because it may seem to have ended before the crash was noticed.
+func TestCrashIsCountedFromTheInterruptedRenewal(t *testing.T) {
+	t.Parallel()
+	fleet, all := oldFleet(1, 6000)
+	view := &lossyFleet{fakeFleet: fleet}
+	n := startMuted(t, fleet, view)
+	eventually(t, "a holder", n.holds)
+	eventually(t, "renewals", func() bool { return fleet.renewed() > 3 })
+	view.loseRenewals.Store(true)
+	time.Sleep(400 * time.Millisecond) // a renewal waits at the worker
+	job := testJob(1)
+	job.Steps[0].EstimateMS = 300
+	assert.NilError(t, n.Submit(within(3*time.Second), job))
+	eventually(t, "a start", func() bool { return fleet.started() == 1 })
+	time.Sleep(200 * time.Millisecond)
+	fleet.restart("w0")
+	view.loseRenewals.Store(false)
+	all[0].Incarnation = 2
+	h, _, _ := n.agents()[0].route()
+	h.setWorkers(all)
+	suspected := metrics.GetOrRegisterCounter("events.crash_suspected", n.cfg.Metrics)
+	eventually(t, "a listing of the new life", func() bool { return sessionOf(h, "w0").lastLife().incarnation == 2 })
+	eventually(t, "the next start", func() bool { return fleet.started() == 2 })
+	assert.Equal(t, suspected.Count(), int64(1))
+}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -135,6 +135,7 @@
 		renewal := s.nextRenewal()
 		result, err := s.renew(renewal)
 		if err != nil && s.isSuperseded(renewal.Token) {
+			s.reportInterrupted(result.Listing.RequestedAt)
 			continue // the next renewal has a higher token
 		}
 		if err != nil {
@@ -148,6 +149,7 @@
 		}
 		listing := result.Listing
 		if !s.recordResponse(renewal.Token, listing.Incarnation, result.ClockMS) {
+			s.reportInterrupted(listing.RequestedAt)
 			if !s.isSuperseded(renewal.Token) && !clock.Sleep(s.ctx, renewalRetryDelay) {
 				return
 			}
@@ -327,6 +329,13 @@
 	return true
 }
 
+// reportInterrupted tells the scheduler that a renewal, sent at the given time, was not answered by
+// the known incarnation. It decides by that time which runs cannot have ended before a crash: from then
+// on their ends would have been answered.
+func (s *session) reportInterrupted(sentAt cell.Instant) {
+	s.report(func(sched *cell.Scheduler) { sched.WorkerUnreachable(s.target.ID, sentAt) })
+}
+
 // report passes an event to the scheduler, unless the worker has another session by then. What
 // a former session knows may be of a former incarnation.
 func (s *session) report(event func(*cell.Scheduler)) {
