Tell incarnations of a worker apart also by a clock that is ahead

An answer that is over a second ahead of the known clock is now of another incarnation, too.

Evidence: the new cases of TestClockTellsLivesApart failed before.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -456,11 +456,17 @@
 	return at
 }
 
+// maxClockLead is how far the worker's clock may be ahead of what the newest response lets expect, as
+// that response may have been under way for some time.
+const maxClockLead = time.Second
+
 // isOther reports whether an answer with the given time of the worker's clock, to an order that
-// was sent at sentAt, is from another incarnation, whose clock has begun anew.
-func (l *workerLife) isOther(clockMS int64, sentAt time.Time) bool {
-	elapsedMS := float64(sentAt.Sub(l.clockAt).Milliseconds()) * (1 - clockDrift)
-	return clockMS < l.clockMS+int64(elapsedMS)-leaseEndMargin.Milliseconds()
+// was sent at sentAt and answered at answeredAt, is from another incarnation, whose clock begins at
+// any value.
+func (l *workerLife) isOther(clockMS int64, sentAt, answeredAt time.Time) bool {
+	least := l.clockMS + int64(float64(sentAt.Sub(l.clockAt).Milliseconds())*(1-clockDrift)) - leaseEndMargin.Milliseconds()
+	most := l.clockMS + (answeredAt.Sub(l.clockAt) + maxClockLead).Milliseconds()
+	return clockMS < least || clockMS > most
 }
 
 // startTerms are the token and the deadline of a start, and the incarnation that it is meant for.
@@ -560,7 +566,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
 	defer cancel()
 	outcome, clockMS := s.holder.node.platform.Controller.Start(ctx, s.target, order)
-	if clockMS > 0 && terms.life.isOther(clockMS, terms.sentAt) {
+	if clockMS > 0 && terms.life.isOther(clockMS, terms.sentAt, time.Now()) {
 		s.holder.logger.Warn("start_met_other_life", zap.String("worker", s.target.ID), zap.String("task", a.Task.String()), zap.Uint32("run", a.Run),
 			zap.Stringer("outcome", outcome), zap.Int64("clock_ms", clockMS), zap.Int64("known_clock_ms", terms.life.clockMS))
 		s.recordOtherLife(terms)
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -184,11 +184,13 @@
 	}{
 		{21_000, false},
 		{20_980, false}, // a clock that is 2% slow
-		{25_000, false}, // the order was carried out late
-		{19_900, true},  // earlier than the last reading
+		{21_900, false}, // the last response was under way for long
+		{22_100, true},
+		{9_000_000, true}, // a clock begins at any value
+		{19_900, true},    // earlier than the last reading
 		{20_500, true},
 		{400, true},
 	} {
-		assert.Equal(t, life.isOther(c.clockMS, now), c.other, "clock %d", c.clockMS)
+		assert.Equal(t, life.isOther(c.clockMS, now, now), c.other, "clock %d", c.clockMS)
 	}
 }
