Reckon the lease of a new incarnation from the deadlines that were sent

A worker that had restarted and was cut off again kept its tasks waiting for the longest lease, 10 s on one deployment, whatever orders it could have carried out. The clock of an incarnation begins at any value. Deadlines that have passed on it give no lease, so the latest one that was sent bounds the lease, once orders of earlier holders count as over, 15 s after the term began.

Evidence: TestDeadlinesThatHavePassedGiveNoLease is of a new part.

--- a/internal/entry/former_life_test.go
+++ b/internal/entry/former_life_test.go
@@ -310,3 +310,22 @@
 	eventually(t, "the next start", func() bool { return fleet.started() == 2 })
 	assert.Equal(t, suspected.Count(), int64(1))
 }
+
+// Guards against tasks that wait for the longest lease although the clock of the new life is past all deadlines that were sent.
+func TestDeadlinesThatHavePassedGiveNoLease(t *testing.T) {
+	s := testSession()
+	s.answer(t, 1, 300_000)
+	s.deadline(s.leaseDuration())
+	s.answer(t, 2, 900_000)
+	assert.Equal(t, s.life.deadlineMS, int64(906_000), "an earlier holder may have sent later deadlines")
+
+	s.holder.startedAt = time.Now().Add(-earlierOrderDelay)
+	s.deadline(s.leaseDuration())
+	s.answer(t, 3, 903_000)
+	left := s.life.deadlineMS - 903_000
+	assert.Assert(t, left >= 3000 && left < 3500, "the last order for life 2 gives %d ms", left)
+	s.answer(t, 4, 2_000_000)
+	assert.Equal(t, s.life.deadlineMS, int64(2_000_000))
+	s.answer(t, 5, 100)
+	assert.Equal(t, s.life.deadlineMS, int64(6100), "shortened to the longest lease")
+}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -84,6 +84,8 @@
 	answering   bool // the last renewal was answered, so that life is the present one
 	answered    bool // a renewal was answered at the address of the target
 	unreachable bool // the last renewal was not answered
+	// latestDeadlineMS is the latest deadline that orders have given so far, on the clock of any incarnation.
+	latestDeadlineMS int64
 	// otherLifeUntil is when the lease ends, at the latest, of an incarnation that has answered a start
 	// and has not been listed; zero if there is none.
 	otherLifeUntil time.Time
@@ -120,11 +122,11 @@
 // of the known incarnation may be in force until the worker answers.
 func (s *session) inherit(old *session) {
 	old.mu.Lock()
-	life, token, otherLifeUntil := old.life, old.token, old.otherLifeUntil
+	life, token, latestDeadlineMS, otherLifeUntil := old.life, old.token, old.latestDeadlineMS, old.otherLifeUntil
 	old.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.life, s.token, s.effective, s.otherLifeUntil = life, token, true, otherLifeUntil
+	s.life, s.token, s.effective, s.latestDeadlineMS, s.otherLifeUntil = life, token, true, latestDeadlineMS, otherLifeUntil
 }
 
 // run renews the worker's lease and passes its listings to the scheduler, until the
@@ -178,7 +180,7 @@
 		renewal.Acknowledged = s.life.acknowledged
 	}
 	if s.ctx.Err() == nil && s.holder.hasAuthority() {
-		renewal.DeadlineMS = s.life.deadline(s.leaseDuration())
+		renewal.DeadlineMS = s.deadline(s.leaseDuration())
 	}
 	if renewal.Acknowledged > 0 || renewal.DeadlineMS > 0 {
 		s.markEffective()
@@ -413,22 +415,35 @@
 		s.holder.logger.Info("worker_life_began", zap.String("worker", s.target.ID), zap.Int64("incarnation", incarnation), zap.Int64("clock_ms", clockMS), zap.Int64("order_token", s.token),
 			zap.Int64("former_incarnation", former.incarnation), zap.Int64("former_clock_ms", former.clockMS), zap.Int64("former_deadline_ms", former.deadlineMS))
 	}
-	// An earlier holder, or an order on the clock of a former incarnation, may have given the worker
-	// a lease of this duration.
-	s.life = workerLife{incarnation: incarnation, deadlineMS: clockMS + s.holder.node.cfg.LongestLeaseMS}
+	s.life = workerLife{incarnation: incarnation, deadlineMS: clockMS + s.longestStrayLease(clockMS)}
 	s.expiredMS = 0
 }
 
+// earlierOrderDelay is how long after its term began a holder counts with orders of earlier holders that
+// workers carry out late.
+const earlierOrderDelay = 15 * time.Second
+
+// longestStrayLease returns the longest lease, in ms, that an incarnation with the given time of its
+// clock may hold because of orders that were meant for others. It shortens them to the longest
+// lease, and a deadline that has passed on its clock gives none. s.mu must be held.
+func (s *session) longestStrayLease(clockMS int64) int64 {
+	longest := s.holder.node.cfg.LongestLeaseMS
+	if s.life.incarnation == 0 || time.Since(s.holder.startedAt) < earlierOrderDelay {
+		return longest // the deadlines of earlier sessions and holders are not known
+	}
+	return min(longest, max(s.latestDeadlineMS-clockMS, 0))
+}
+
 // recordOtherLife records that a start was answered by an incarnation after the one that it was meant
 // for. It ends the renewal in progress, which may wait at the former one, so that the new one is
 // listed next.
-func (s *session) recordOtherLife(met startTerms) {
+func (s *session) recordOtherLife(met startTerms, clockMS int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.life.incarnation != met.life.incarnation {
 		return // the new one has been listed meanwhile
 	}
-	longest := time.Duration(maxLeaseDurationMS(s.holder.node.cfg.LongestLeaseMS)) * time.Millisecond
+	longest := time.Duration(maxLeaseDurationMS(s.longestStrayLease(clockMS))) * time.Millisecond
 	s.otherLifeUntil = time.Now().Add(longest + leaseEndMargin)
 	if s.token == met.token {
 		s.advance()
@@ -449,10 +464,11 @@
 	s.abortRenewal()
 }
 
-// deadline returns the time d from now on the worker's clock and records it as sent.
-func (l *workerLife) deadline(d time.Duration) int64 {
-	at := l.clockMS + time.Since(l.clockAt).Milliseconds() + d.Milliseconds()
-	l.deadlineMS = max(l.deadlineMS, at)
+// deadline returns the time d from now on the worker's clock and records it as sent. s.mu must be held.
+func (s *session) deadline(d time.Duration) int64 {
+	at := s.life.clockMS + time.Since(s.life.clockAt).Milliseconds() + d.Milliseconds()
+	s.life.deadlineMS = max(s.life.deadlineMS, at)
+	s.latestDeadlineMS = max(s.latestDeadlineMS, at)
 	return at
 }
 
@@ -488,7 +504,7 @@
 		return startTerms{}, false
 	}
 	s.markEffective()
-	deadlineMS := s.life.deadline(startWindow)
+	deadlineMS := s.deadline(startWindow)
 	return startTerms{s.token, deadlineMS, s.life, time.Now()}, true
 }
 
@@ -569,7 +585,7 @@
 	if clockMS > 0 && terms.life.isOther(clockMS, terms.sentAt, time.Now()) {
 		s.holder.logger.Warn("start_met_other_life", zap.String("worker", s.target.ID), zap.String("task", a.Task.String()), zap.Uint32("run", a.Run),
 			zap.Stringer("outcome", outcome), zap.Int64("clock_ms", clockMS), zap.Int64("known_clock_ms", terms.life.clockMS))
-		s.recordOtherLife(terms)
+		s.recordOtherLife(terms, clockMS)
 	}
 	if outcome == cell.StartFenced {
 		s.handleFenced(terms.token)
