Stop a run on an unknown incarnation while the holder may have a successor

A holder without confirmations of the log sends starts for up to 7 s, since their leases end before the next holder places its tasks. A start that meets another incarnation of its worker is given the longest lease instead, which may outlast that wait. The clock in the answer shows it: the run is stopped, as after a start without an answer.

A start without an answer in that time is not covered.

--- a/internal/entry/former_life_test.go
+++ b/internal/entry/former_life_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
+	"github.com/fulmarlatch/fulmarlatch/internal/clock"
 )
 
 // oldFleet returns workers that have been up for a minute, with the given longest lease. Only the first
@@ -329,3 +330,20 @@
 	s.answer(t, 5, 100)
 	assert.Equal(t, s.life.deadlineMS, int64(6100), "shortened to the longest lease")
 }
+
+// Guards against a task that runs twice because a holder that may have a successor leaves a run on an incarnation whose lease the successor does not wait for.
+func TestRunOfAnotherLifeIsStoppedWithoutAuthority(t *testing.T) {
+	for _, authority := range []bool{true, false} {
+		fleet := newFakeFleet(1)
+		h := newHolder(newAgent(NewNode(Config{Name: "a", Cells: 1, LongestLeaseMS: 6000}, Platform{Controller: fleet}), 0), claim{Term: 1, Token: 1}, 0)
+		h.tokens.extend(9)
+		s := newSession(h, Target{ID: "w0", Address: "w0"})
+		s.answer(t, 1, fakeClockMS()+60_000)
+		want := cell.StartAccepted
+		if !authority {
+			h.confirmedAt = clock.SinceBoot() - authorityPeriod
+			want = cell.StartUnanswered
+		}
+		assert.Equal(t, s.tryStart(cell.Start{Worker: "w0"}), want)
+	}
+}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -586,6 +586,9 @@
 		s.holder.logger.Warn("start_met_other_life", zap.String("worker", s.target.ID), zap.String("task", a.Task.String()), zap.Uint32("run", a.Run),
 			zap.Stringer("outcome", outcome), zap.Int64("clock_ms", clockMS), zap.Int64("known_clock_ms", terms.life.clockMS))
 		s.recordOtherLife(terms, clockMS)
+		if outcome == cell.StartAccepted && !s.holder.hasAuthority() {
+			outcome = cell.StartUnanswered // has the run stopped: its lease may outlast the wait of the next holder
+		}
 	}
 	if outcome == cell.StartFenced {
 		s.handleFenced(terms.token)
