Give the time of an interrupted first renewal, and clearer names

The scheduler judges by the time of a failed renewal which runs may have ended before a crash. A repeated first renewal that was interrupted gave none. Names of an unknown lease and of the registry's incarnation say what they hold.

--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -90,8 +90,8 @@
 	// and has not been listed; zero if there is none.
 	otherLifeUntil time.Time
 	abortRenewal   context.CancelFunc // ends the renewal in progress
-	// registered is the newest incarnation after the known one that the registry has named.
-	registered int64
+	// namedIncarnation is the newest incarnation after the known one that the registry has named.
+	namedIncarnation int64
 	// expiredMS is the deadline of the lease whose end this session reported last, on the
 	// worker's clock; 0 if it has reported none of this incarnation.
 	expiredMS int64
@@ -251,6 +251,7 @@
 		result LeaseRenewalResult
 		err    error
 	}
+	sentAt := s.holder.now()
 	responses := make(chan response, 2)
 	call := func() {
 		s.holder.spawn("the first renewal to a worker", func() {
@@ -271,7 +272,7 @@
 				return got.result, got.err
 			}
 		case <-ctx.Done():
-			return LeaseRenewalResult{}, ctx.Err()
+			return LeaseRenewalResult{Listing: cell.Listing{RequestedAt: sentAt}}, ctx.Err()
 		}
 	}
 }
@@ -415,7 +416,7 @@
 		s.holder.logger.Info("worker_life_began", zap.String("worker", s.target.ID), zap.Int64("incarnation", incarnation), zap.Int64("clock_ms", clockMS), zap.Int64("order_token", s.token),
 			zap.Int64("former_incarnation", former.incarnation), zap.Int64("former_clock_ms", former.clockMS), zap.Int64("former_deadline_ms", former.deadlineMS))
 	}
-	s.life = workerLife{incarnation: incarnation, deadlineMS: clockMS + s.longestStrayLease(clockMS)}
+	s.life = workerLife{incarnation: incarnation, deadlineMS: clockMS + s.longestUnknownLease(clockMS)}
 	s.expiredMS = 0
 }
 
@@ -423,10 +424,10 @@
 // workers carry out late.
 const earlierOrderDelay = 15 * time.Second
 
-// longestStrayLease returns the longest lease, in ms, that an incarnation with the given time of its
+// longestUnknownLease returns the longest lease, in ms, that an incarnation with the given time of its
 // clock may hold because of orders that were meant for others. It shortens them to the longest
 // lease, and a deadline that has passed on its clock gives none. s.mu must be held.
-func (s *session) longestStrayLease(clockMS int64) int64 {
+func (s *session) longestUnknownLease(clockMS int64) int64 {
 	longest := s.holder.node.cfg.LongestLeaseMS
 	if s.life.incarnation == 0 || time.Since(s.holder.startedAt) < earlierOrderDelay {
 		return longest // the deadlines of earlier sessions and holders are not known
@@ -443,7 +444,7 @@
 	if s.life.incarnation != met.life.incarnation {
 		return // the new one has been listed meanwhile
 	}
-	longest := time.Duration(maxLeaseDurationMS(s.longestStrayLease(clockMS))) * time.Millisecond
+	longest := time.Duration(maxLeaseDurationMS(s.longestUnknownLease(clockMS))) * time.Millisecond
 	s.otherLifeUntil = time.Now().Add(longest + leaseEndMargin)
 	if s.token == met.token {
 		s.advance()
@@ -456,10 +457,10 @@
 func (s *session) noteRegistered(incarnation int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.answering || incarnation <= max(s.life.incarnation, s.registered) {
+	if !s.answering || incarnation <= max(s.life.incarnation, s.namedIncarnation) {
 		return
 	}
-	s.registered = incarnation
+	s.namedIncarnation = incarnation
 	s.advance()
 	s.abortRenewal()
 }
