Wait for the session before its worker leaves the registry, in a test

TestSessionOfWorkerThatNeverAnsweredEnds failed once at a load average of 30 (10 calls, not 4). Traced by its log and duration: the new holder counts as holding before the watch of the registry has reported its workers. The test then removed a worker that was not known yet, its wait ended at once, and the report of the watch opened the session that the test counts. It now waits for that session first; what it checks is unchanged.

--- a/internal/entry/session_end_test.go
+++ b/internal/entry/session_end_test.go
@@ -131,6 +131,7 @@
 	b := startCutNode(t, "b", log, view)
 	eventually(t, "the next holder", b.holds)
 	h, _, _ := b.agents()[0].route()
+	eventually(t, "a session with the worker", func() bool { return sessionOf(h, "w0") != nil })
 	h.setWorkers(fleet.infos[1:])
 	eventually(t, "the end of the wait", func() bool {
 		removed := make(chan bool, 1)
