Stop a run that a new incarnation lists after the former one answered its stop

Since, runs in the first listing of a new incarnation stay as they are. One whose stop the former incarnation had answered worked on for up to StopTimeoutMS and a second more, for a cancelled job or a gang that was stopped. Its stop is sent again at that listing.

--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -201,3 +201,20 @@
 		assert.Equal(t, r.s.task(start.Task).crashes, crashes{})
 	}
 }
+
+// Guards against a run of a cancelled job that goes on because the former life of its worker answered the stop before the new one carried out the start.
+func TestLateStartOnTheNewLifeIsStopped(t *testing.T) {
+	r := newRig(t, 1, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.advance(10)
+	r.workers["w00"].unreachable = true
+	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
+	first := r.starts[0]
+	r.advance(400)
+	r.s.Cancel(jobID(1))
+	r.runActions()
+	r.s.Stopped("w00", first.Task, first.Run) // by the former life
+	r.advance(10)
+	*r.workers["w00"] = fakeWorker{incarnation: 1, running: []RunningTask{{Task: first.Task, Run: first.Run}}}
+	r.advance(10)
+	assert.Equal(t, len(r.stops), 2)
+}
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -251,6 +251,10 @@
 func (s *Scheduler) closeFormerAttempts(w *worker, listed map[runKey]bool, requestedAt Instant) {
 	for key, a := range w.attempts {
 		switch {
+		case listed[key] && a.phase == stopping:
+			// The former incarnation answered the stop, and the next one carried out the start late.
+			a.confirmed = 0
+			s.emitStop(a, "worker_restarted")
 		case listed[key]:
 		case a.confirmed != 0 && a.confirmed < requestedAt:
 			s.closeAttempt(a)
