Send stops again to a worker that is listed after its lease had expired

An attempt without an answer may outlive the lease of the known incarnation since. If the session that repeated its stop had ended, nothing closed the attempt any more and its task was never placed again. The first listing has the stops sent again, and the end of the wait closes the attempts without an answer only.

--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -108,12 +108,32 @@
 	for w := range s.unanswered {
 		if min(s.now, s.confirmed) >= w.unansweredUntil {
 			s.forgetUnanswered(w)
-			s.closeAttempts(w)
+			s.closeUnanswered(w)
 			s.removeIfGone(w)
 		}
 	}
 }
 
+// closeUnanswered closes the attempts of a worker that has answered neither their start nor a stop.
+func (s *Scheduler) closeUnanswered(w *worker) {
+	for _, a := range w.attempts {
+		if a.isUnanswered() {
+			s.closeAttempt(a)
+			s.retryAfterLoss(a)
+		}
+	}
+}
+
+// resendStops has the stops of a worker's attempts sent again. The session that repeated them may have
+// ended while the attempts outlived the lease.
+func (s *Scheduler) resendStops(w *worker) {
+	for _, a := range w.attempts {
+		if a.phase == stopping {
+			s.emitStop(a, "worker_listed")
+		}
+	}
+}
+
 // forgetUnanswered ends the wait for starts that a worker has not answered.
 func (s *Scheduler) forgetUnanswered(w *worker) {
 	w.unansweredUntil = 0
@@ -153,6 +173,7 @@
 	delete(s.workers, w.ID)
 	s.emit(WorkerRemoved{w.ID})
 	delete(s.unstored, w)
+	delete(s.unanswered, w)
 	s.rosterDirty = true
 }
 
@@ -187,6 +208,7 @@
 		s.beginLife(w, l.Incarnation)
 	}
 	if !w.fenced {
+		s.resendStops(w)
 		s.beginLife(w, l.Incarnation)
 		w.fenced = true
 	}
--- a/internal/cell/unanswered_test.go
+++ b/internal/cell/unanswered_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -102,3 +103,65 @@
 	r.advance(7000)
 	assert.Assert(t, !r.s.HasWorker(silent))
 }
+
+// Guards against a task that is never placed again because its stop ended with a session while the attempt outlived the lease.
+func TestStopOfUnansweredStartIsSentAgain(t *testing.T) {
+	r, silent := unansweredRig(t)
+	r.s.LeaseExpired(silent)
+	r.advance(10)
+	*r.workers[silent] = fakeWorker{incarnation: 1}
+	for range 100 {
+		r.advance(100)
+	}
+	assert.Assert(t, r.startedTasks()[r.starts[1].Task.String()] > 1)
+}
+
+// Guards against a wait for an unanswered start that begins anew when the lease expires.
+func TestWaitBeginsWithTheSilence(t *testing.T) {
+	r, silent := unansweredRig(t)
+	for range 50 {
+		r.advance(100)
+	}
+	r.s.LeaseExpired(silent)
+	for range 20 {
+		r.advance(100)
+	}
+	assert.Equal(t, r.startedTasks()[r.starts[1].Task.String()], 2)
+}
+
+// Guards against a start that a worker carries out shortly after it stopped answering.
+func TestWaitCoversOrdersOnTheirWay(t *testing.T) {
+	r, silent := unansweredRig(t)
+	r.s.LeaseExpired(silent)
+	for range 64 {
+		r.advance(100)
+	}
+	assert.Equal(t, r.startedTasks()[r.starts[1].Task.String()], 1)
+}
+
+// Guards against runs of a worker that answers again which are placed elsewhere when a former wait ends.
+func TestWaitEndsWithAListing(t *testing.T) {
+	r, silent := unansweredRig(t)
+	r.s.LeaseExpired(silent)
+	r.advance(10)
+	*r.workers[silent] = fakeWorker{incarnation: 1}
+	r.advance(10)
+	r.s.Stopped(silent, r.starts[1].Task, r.starts[1].Run)
+	for range 20 {
+		r.advance(100)
+	}
+	began := len(r.starts)
+	r.submit(oneStep(jobID(3), Step{Tasks: 4, Resources: Resources{CPUMilli: 100}, EstimateMS: 60_000}))
+	for range 10 {
+		r.advance(100)
+	}
+	placed := r.starts[began:]
+	assert.Assert(t, slices.ContainsFunc(placed, func(s Start) bool { return s.Worker == silent }))
+	for n := range 70 {
+		r.setPercent(func(int) int { return n })
+		r.advance(100)
+	}
+	for _, s := range placed {
+		assert.Equal(t, r.startedTasks()[s.Task.String()], 1)
+	}
+}
