Keep waiting for an unanswered start whose stop was answered

The answer to a stop closes a start for the incarnation that gives it. If the worker then restarts before a listing lacks the run, the next incarnation may carry out the start, and the task was placed elsewhere as soon as the known lease had expired.

--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -90,7 +90,7 @@
 // reach it, in ms. Starts time out after 400 ms.
 const unansweredOrderMS = 500
 
-// hasUnansweredStart reports whether a start was sent that the worker has not answered, nor its stop.
+// hasUnansweredStart reports whether a start was sent that the worker has not answered.
 func (w *worker) hasUnansweredStart() bool {
 	for _, a := range w.attempts {
 		if a.isUnanswered() {
@@ -100,8 +100,9 @@
 	return false
 }
 
-// isUnanswered reports whether the worker has answered neither the start nor a stop of the attempt.
-func (a *attempt) isUnanswered() bool { return !a.accepted && a.confirmed == 0 }
+// isUnanswered reports whether the worker has not answered the start. An answer to its stop is of one
+// incarnation, and the next one may still carry out the start.
+func (a *attempt) isUnanswered() bool { return !a.accepted }
 
 // releaseUnanswered has the tasks of unanswered starts placed again that can run nowhere any more.
 func (s *Scheduler) releaseUnanswered() {
@@ -114,7 +115,7 @@
 	}
 }
 
-// closeUnanswered closes the attempts of a worker that has answered neither their start nor a stop.
+// closeUnanswered closes the attempts of a worker that has not answered their start.
 func (s *Scheduler) closeUnanswered(w *worker) {
 	for _, a := range w.attempts {
 		if a.isUnanswered() {
--- a/internal/cell/unanswered_test.go
+++ b/internal/cell/unanswered_test.go
@@ -165,3 +165,18 @@
 		assert.Equal(t, r.startedTasks()[s.Task.String()], 1)
 	}
 }
+
+// Guards against a task that runs twice because the former life of its worker answered the stop before the next one carried out the start.
+func TestAnsweredStopDoesNotEndTheWait(t *testing.T) {
+	r, silent := unansweredRig(t)
+	r.s.Stopped(silent, r.starts[1].Task, r.starts[1].Run)
+	r.s.LeaseExpired(silent)
+	for range 60 {
+		r.advance(100)
+	}
+	assert.Equal(t, r.startedTasks()[r.starts[1].Task.String()], 1)
+	for range 10 {
+		r.advance(100)
+	}
+	assert.Equal(t, r.startedTasks()[r.starts[1].Task.String()], 2)
+}
