Count with every order that may keep an unlisted incarnation running

Three orders of events let a run on an incarnation that was not listed count as ended, and its task start elsewhere, while it went on: an order that was still on its way when the incarnation answered a start prolonged the lease; a listing of an earlier incarnation, requested before the answer and arriving after it, cleared what the answer had told; a start was answered by an incarnation after the one that was listed meanwhile.

The lease is reckoned from the end of the calls that may be on their way, only a listing that was requested after the answer clears it, and the clock of the answer is compared with the incarnation that is known by then.

--- a/internal/entry/former_life_test.go
+++ b/internal/entry/former_life_test.go
@@ -132,13 +132,13 @@
 	s.answer(t, 1, 300_000)
 	s.acknowledge(1, 370)
 	sent := s.nextRenewal()
-	assert.Assert(t, !s.recordResponse(sent.Token, 2, 100), "answered by the new life")
+	assert.Assert(t, !s.respond(sent.Token, 2, 100), "answered by the new life")
 	_, ok := s.prepareStart()
 	assert.Assert(t, !ok, "a start on a life that the session does not know")
 	next := s.nextRenewal()
 	assert.Equal(t, next, LeaseRenewal{Token: sent.Token + 1}, "without numbers of a former life")
-	assert.Assert(t, !s.recordResponse(sent.Token, 1, 300_100), "a late answer of the former life")
-	assert.Assert(t, s.recordResponse(next.Token, 2, 200))
+	assert.Assert(t, !s.respond(sent.Token, 1, 300_100), "a late answer of the former life")
+	assert.Assert(t, s.respond(next.Token, 2, 200))
 	assert.Equal(t, s.nextRenewal().Token, next.Token, "the same life keeps its token")
 }
 
@@ -151,8 +151,8 @@
 	used := s.nextRenewal().Token
 	assert.Equal(t, used, int64(1))
 	s.holder.tokens = newOrderTokens(used) // the claim is not renewed any more
-	assert.Assert(t, !s.recordResponse(s.nextRenewal().Token, 3, 100))
-	assert.Assert(t, !s.recordResponse(s.nextRenewal().Token, 3, 200), "no token that orders to life 2 did not have")
+	assert.Assert(t, !s.respond(s.nextRenewal().Token, 3, 100))
+	assert.Assert(t, !s.respond(s.nextRenewal().Token, 3, 200), "no token that orders to life 2 did not have")
 	s.holder.tokens.extend(used + 1)
 	s.answer(t, 3, 300)
 	assert.Equal(t, s.nextRenewal().Token, used+1)
@@ -347,3 +347,46 @@
 		assert.Equal(t, s.tryStart(cell.Start{Worker: "w0"}), want)
 	}
 }
+
+// Guards against a run that counts as ended while an order on its way may still prolong the lease of its unlisted incarnation.
+func TestLeaseOfAnotherLifeCoversOrdersOnTheirWay(t *testing.T) {
+	s := testSession()
+	s.answer(t, 1, 300_000)
+	s.nextRenewal() // may reach the worker until it times out
+	terms, ok := s.prepareStart()
+	assert.Assert(t, ok)
+	s.recordOtherLife(terms, 500)
+	end, known := s.leaseEnd()
+	longest := time.Duration(maxLeaseDurationMS(s.holder.node.cfg.LongestLeaseMS)) * time.Millisecond
+	assert.Assert(t, known && !end.Before(terms.sentAt.Add(renewalWait+renewalTimeout+longest)))
+}
+
+// Guards against a run that is forgotten because the life that was listed meanwhile is not the one that answered its start.
+func TestStartAnsweredByALaterLifeThanTheListedOne(t *testing.T) {
+	s := testSession()
+	s.answer(t, 1, 300_000)
+	terms, ok := s.prepareStart()
+	assert.Assert(t, ok)
+	s.answer(t, 2, 100_000)
+	s.recordOtherLife(terms, 100_010)
+	assert.Assert(t, s.otherLifeUntil.IsZero(), "answered by the listed life")
+	s.recordOtherLife(terms, 500)
+	assert.Assert(t, !s.otherLifeUntil.IsZero())
+}
+
+// Guards against a run that is forgotten because a listing of an earlier life, which was requested before, arrives after the answer to its start.
+func TestListingRequestedBeforeAnotherLifeAnswered(t *testing.T) {
+	s := testSession()
+	s.answer(t, 1, 300_000)
+	terms, ok := s.prepareStart()
+	assert.Assert(t, ok)
+	s.noteRegistered(2)
+	requested := s.holder.now()
+	time.Sleep(5 * time.Millisecond)
+	s.recordOtherLife(terms, 500)
+	assert.Assert(t, s.recordResponse(s.currentToken(), LeaseRenewalResult{ClockMS: 100_000, Listing: cell.Listing{Incarnation: 2, RequestedAt: requested}}))
+	assert.Assert(t, !s.otherLifeUntil.IsZero(), "a third life answered the start")
+	time.Sleep(5 * time.Millisecond)
+	assert.Assert(t, s.respond(s.currentToken(), 2, 100_010))
+	assert.Assert(t, s.otherLifeUntil.IsZero())
+}
--- a/internal/entry/life.go
+++ b/internal/entry/life.go
@@ -52,11 +52,11 @@
 	return clockMS < least || clockMS > most
 }
 
-// recordResponse records a response to a renewal with the given token: the worker's incarnation and
-// its clock in ms. It reports whether the listing may be used. It may not if orders that were meant for
+// recordResponse records a response to a renewal with the given token. It reports whether the listing may be used. It may not if orders that were meant for
 // a former incarnation may still change the present one: they could end the lease later than this
 // session knows, begin runs, or make the worker forget ends that are not read yet.
-func (s *session) recordResponse(token, incarnation, clockMS int64) bool {
+func (s *session) recordResponse(token int64, r LeaseRenewalResult) bool {
+	incarnation := r.Listing.Incarnation
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if token < s.token {
@@ -70,11 +70,13 @@
 		s.holder.logger.Info("worker_regained", zap.String("worker", s.target.ID))
 	}
 	s.answering, s.answered, s.unreachable = true, true, false
-	s.otherLifeUntil = time.Time{}
+	if r.Listing.RequestedAt > s.otherLifeSince {
+		s.otherLifeUntil = time.Time{}
+	}
 	if s.life.incarnation != incarnation {
-		s.beginLife(incarnation, clockMS)
+		s.beginLife(incarnation, r.ClockMS)
 	}
-	s.life.clockMS, s.life.clockAt, s.life.heardAt = clockMS, time.Now(), clock.SinceBoot()
+	s.life.clockMS, s.life.clockAt, s.life.heardAt = r.ClockMS, time.Now(), clock.SinceBoot()
 	return true
 }
 
@@ -88,23 +90,29 @@
 	s.expiredMS = 0
 }
 
-// recordOtherLife records that a start was answered by an incarnation after the one that it was meant
-// for. It ends the renewal in progress, which may wait at the former one, so that the new one is
-// listed next.
+// recordOtherLife records that a start was answered by an incarnation, with the given time of its clock,
+// after the one that it was meant for. It ends the renewal in progress, which may wait at the former
+// one, so that the new one is listed next.
 func (s *session) recordOtherLife(met startTerms, clockMS int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.life.incarnation != met.life.incarnation {
-		return // the new one has been listed meanwhile
+	listedMeanwhile := s.life.incarnation != met.life.incarnation
+	if listedMeanwhile && !s.life.isOther(clockMS, met.sentAt, time.Now()) {
+		return
 	}
 	longest := time.Duration(maxLeaseDurationMS(s.longestUnknownLease(clockMS))) * time.Millisecond
-	s.otherLifeUntil = time.Now().Add(longest + leaseEndMargin)
-	if s.token == met.token {
+	s.otherLifeUntil = time.Now().Add(orderTransit + longest + leaseEndMargin)
+	s.otherLifeSince = s.holder.now()
+	if listedMeanwhile || s.token == met.token {
 		s.advance()
 		s.abortRenewal()
 	}
 }
 
+// orderTransit is how long an order that has been sent may still reach the worker: until its call times
+// out, also after the session has ended the wait for it.
+const orderTransit = renewalWait + renewalTimeout
+
 // noteRegistered takes note of the incarnation that the registry names, as its start time in Unix ms.
 // After a restart, the renewal in progress may wait at the former one until it times out.
 func (s *session) noteRegistered(incarnation int64) {
@@ -122,11 +130,12 @@
 // of the known incarnation may be in force until the worker answers.
 func (s *session) inherit(old *session) {
 	old.mu.Lock()
-	life, token, latestDeadlineMS, otherLifeUntil := old.life, old.token, old.latestDeadlineMS, old.otherLifeUntil
+	life, token, latestDeadlineMS, otherLifeUntil, otherLifeSince := old.life, old.token, old.latestDeadlineMS, old.otherLifeUntil, old.otherLifeSince
 	old.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.life, s.token, s.effective, s.latestDeadlineMS, s.otherLifeUntil = life, token, true, latestDeadlineMS, otherLifeUntil
+	s.life, s.token, s.effective, s.latestDeadlineMS = life, token, true, latestDeadlineMS
+	s.otherLifeUntil, s.otherLifeSince = otherLifeUntil, otherLifeSince
 }
 
 // advance takes the next token for the orders that follow, so that the worker refuses earlier ones
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -77,6 +77,7 @@
 	// otherLifeUntil is when the lease ends, at the latest, of an incarnation that has answered a start
 	// and has not been listed; zero if there is none.
 	otherLifeUntil time.Time
+	otherLifeSince cell.Instant       // when it answered
 	abortRenewal   context.CancelFunc // ends the renewal in progress
 	// namedIncarnation is the newest incarnation after the known one that the registry has named.
 	namedIncarnation int64
@@ -113,7 +114,7 @@
 			continue
 		}
 		listing := result.Listing
-		if !s.recordResponse(renewal.Token, listing.Incarnation, result.ClockMS) {
+		if !s.recordResponse(renewal.Token, result) {
 			s.reportInterrupted(listing.RequestedAt)
 			if !s.isSuperseded(renewal.Token) && !clock.Sleep(s.ctx, renewalRetryDelay) {
 				return
--- a/internal/entry/session_test.go
+++ b/internal/entry/session_test.go
@@ -41,10 +41,15 @@
 	return newSession(h, Target{ID: "w", Address: "w"})
 }
 
+// respond records an answer of an incarnation to a renewal that is sent now.
+func (s *session) respond(token, incarnation, clockMS int64) bool {
+	return s.recordResponse(token, LeaseRenewalResult{ClockMS: clockMS, Listing: cell.Listing{Incarnation: incarnation, RequestedAt: s.holder.now()}})
+}
+
 // answer has an incarnation of the worker answer renewals until the session uses the listing.
 func (s *session) answer(t *testing.T, incarnation, clockMS int64) {
 	t.Helper()
-	eventually(t, "a listing that is used", func() bool { return s.recordResponse(s.nextRenewal().Token, incarnation, clockMS) })
+	eventually(t, "a listing that is used", func() bool { return s.respond(s.nextRenewal().Token, incarnation, clockMS) })
 }
 
 // Guards against numbers of a former life in renewals, also if ends are acknowledged late.
