Do not end the term for a token of its own sessions

A session that had been replaced ended the term when its renewal was refused for the higher token of the next one, and a session that was opened again could begin below a token that its worker had seen in renewals without effect. Both look like a newer holder.

Evidence: found by review; TestSessionsWithOneWorkerDoNotEndTheTerm failed on the commit before.

--- a/internal/entry/former_life_test.go
+++ b/internal/entry/former_life_test.go
@@ -390,3 +390,20 @@
 	assert.Assert(t, s.respond(s.currentToken(), 2, 100_010))
 	assert.Assert(t, s.otherLifeUntil.IsZero())
 }
+
+// Guards against a term that ends because the next session with a worker, at another address or opened again, has sent a higher token or sends a lower one.
+func TestSessionsWithOneWorkerDoNotEndTheTerm(t *testing.T) {
+	s := testSession()
+	s.answer(t, 1, 300_000)
+	s.nextRenewal()
+	s.noteRegistered(2)
+	s.answer(t, 2, 100)
+	s.noteRegistered(3)
+	s.answer(t, 3, 100)
+	s.cancel()
+	assert.Assert(t, !s.handleFenced(s.currentToken()))
+	assert.Assert(t, !s.handleRenewalError(&ControlError{Failure: ControlFenced}, 0))
+	assert.NilError(t, s.holder.ctx.Err())
+	again := newSession(s.holder, s.target)
+	assert.Assert(t, again.token >= s.token, "%d after %d", again.token, s.token)
+}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -253,11 +253,12 @@
 // handleRenewalError handles a renewal that failed and was sent at the given time, and reports
 // whether the session continues.
 func (s *session) handleRenewalError(err error, sentAt cell.Instant) bool {
+	if s.ctx.Err() != nil {
+		return false
+	}
 	var c *ControlError
 	if errors.As(err, &c) && c.Failure == ControlFenced {
 		s.holder.endTerm("worker_fenced")
-	}
-	if s.ctx.Err() != nil {
 		return false
 	}
 	if errors.As(err, &c) && c.Failure == ControlReplaced && !s.mayRunElsewhere() {
--- a/internal/entry/tokens.go
+++ b/internal/entry/tokens.go
@@ -12,6 +12,7 @@
 	claim  int64 // token of the claim, the lowest one
 	newest int64 // the highest one so far
 	used   int64 // highest token of an order that may change an incarnation which it is not meant for
+	taken  int64 // highest token of a session, which its worker may have seen
 }
 
 func newOrderTokens(claim int64) *orderTokens { return &orderTokens{claim: claim, newest: claim} }
@@ -23,12 +24,12 @@
 	t.newest = max(t.newest, end)
 }
 
-// first returns the token of a new session, and whether orders with it may be under way to a former
+// first returns the token of a new session, which is not below that of an earlier session, and whether orders with it may be under way to a former
 // incarnation of its worker, from an earlier session.
 func (t *orderTokens) first() (token int64, used bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	token = min(max(t.claim, t.used+1), t.newest)
+	token = min(max(t.claim, t.used+1, t.taken), t.newest)
 	return token, token <= t.used
 }
 
@@ -36,7 +37,11 @@
 func (t *orderTokens) after(token int64) (next int64, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return token + 1, token < t.newest
+	if token >= t.newest {
+		return 0, false
+	}
+	t.taken = max(t.taken, token+1)
+	return token + 1, true
 }
 
 // markUsed records an order that may change an incarnation which it is not meant for.
