--- a/internal/entry/former_life_test.go
+++ b/internal/entry/former_life_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -320,7 +321,7 @@
 	s.answer(t, 2, 900_000)
 	assert.Equal(t, s.life.deadlineMS, int64(906_000), "an earlier holder may have sent later deadlines")
 
-	s.holder.startedAt = time.Now().Add(-earlierOrderDelay)
+	s.openedAt = time.Now().Add(-earlierOrderDelay)
 	s.deadline(s.leaseDuration())
 	s.answer(t, 3, 903_000)
 	left := s.life.deadlineMS - 903_000
@@ -407,3 +408,83 @@
 	again := newSession(s.holder, s.target)
 	assert.Assert(t, again.token >= s.token, "%d after %d", again.token, s.token)
 }
+
+// Guards against a lease that is reckoned from the deadlines of this session only while orders of the one before it may be carried out.
+func TestSessionOpenedAgainCountsWithOrdersBeforeIt(t *testing.T) {
+	s := testSession()
+	s.answer(t, 1, 300_000)
+	s.nextRenewal()
+	s.cancel()
+	next := newSession(s.holder, s.target)
+	next.answer(t, 2, 100)
+	next.nextRenewal()
+	next.answer(t, 3, 6000)
+	assert.Equal(t, next.life.deadlineMS, int64(12_000))
+}
+
+// Guards against tasks that wait for ever because another life answers while the claim cannot be renewed, so that no token is left.
+func TestLeaseEndsWithoutAFurtherToken(t *testing.T) {
+	t.Parallel()
+	fleet, _ := oldFleet(1, 6000)
+	n := startMuted(t, fleet, fleet)
+	eventually(t, "a holder", n.holds)
+	eventually(t, "renewals", func() bool { return fleet.renewed() > 3 })
+	h, _, _ := n.agents()[0].route()
+	s := sessionOf(h, "w0")
+	s.mu.Lock()
+	s.token = math.MaxInt64 - 1 // beyond all renewals of the claim
+	s.mu.Unlock()
+	time.Sleep(400 * time.Millisecond)
+	fleet.restart("w0")
+	eventually(t, "the end of the lease", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.expiredMS != 0
+	})
+}
+
+// Guards against a listing that is used while an order without a lease for a former life is on its way.
+func TestOrdersWithoutLeaseCostTheToken(t *testing.T) {
+	for _, order := range []func(s *session){
+		func(s *session) { s.prepareStart() },
+		func(s *session) { s.acknowledge(1, 5); s.nextRenewal() },
+	} {
+		s := testSession()
+		s.answer(t, 1, 300_000)
+		s.holder.confirmedAt = clock.SinceBoot() - authorityPeriod
+		order(s)
+		assert.Assert(t, !s.respond(s.currentToken(), 2, 100))
+	}
+}
+
+// Guards against a lease that is reckoned from the last start, which ends before an earlier renewal's.
+func TestLatestDeadlineIsTheLatestOfAllOrders(t *testing.T) {
+	s := testSession()
+	s.openedAt = time.Now().Add(-earlierOrderDelay)
+	s.answer(t, 1, 300_000)
+	s.nextRenewal()
+	_, ok := s.prepareStart()
+	assert.Assert(t, ok)
+	token := s.currentToken()
+	assert.Assert(t, !s.respond(token, 2, 300_000))
+	assert.Assert(t, s.respond(token+1, 2, 300_000))
+	assert.Assert(t, s.life.deadlineMS >= 306_000)
+}
+
+// Guards against a session at another address that acts as if the one before had sent nothing.
+func TestNextAddressInheritsOrders(t *testing.T) {
+	s := testSession()
+	s.openedAt = time.Now().Add(-earlierOrderDelay)
+	s.answer(t, 1, 300_000)
+	s.nextRenewal()
+	terms, ok := s.prepareStart()
+	assert.Assert(t, ok)
+	s.recordOtherLife(terms, 100)
+	moved := newSession(s.holder, Target{ID: "w", Address: "moved"})
+	moved.inherit(s)
+	end, known := moved.leaseEnd()
+	assert.Assert(t, known && !end.Before(s.otherLifeUntil))
+	assert.Assert(t, !moved.respond(moved.currentToken(), 2, 300_000))
+	moved.answer(t, 2, 300_000)
+	assert.Assert(t, moved.life.deadlineMS >= 306_000)
+}
--- a/internal/entry/life.go
+++ b/internal/entry/life.go
@@ -134,6 +134,7 @@
 	old.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.openedAt = old.openedAt
 	s.life, s.token, s.effective, s.latestDeadlineMS = life, token, true, latestDeadlineMS
 	s.otherLifeUntil, s.otherLifeSince = otherLifeUntil, otherLifeSince
 }
@@ -155,16 +156,16 @@
 	s.holder.tokens.markUsed(s.token)
 }
 
-// earlierOrderDelay is how long after its term began a holder counts with orders of earlier holders that
-// workers carry out late.
-const earlierOrderDelay = 15 * time.Second
+// earlierOrderDelay is how long after it was opened a session counts with orders of earlier sessions and
+// holders: these send starts for up to 7 s, and workers carry orders out up to 12 s late.
+const earlierOrderDelay = 20 * time.Second
 
 // longestUnknownLease returns the longest lease, in ms, that an incarnation with the given time of its
 // clock may hold because of orders that were meant for others. It shortens them to the longest
 // lease, and a deadline that has passed on its clock gives none. s.mu must be held.
 func (s *session) longestUnknownLease(clockMS int64) int64 {
 	longest := s.holder.node.cfg.LongestLeaseMS
-	if s.life.incarnation == 0 || time.Since(s.holder.startedAt) < earlierOrderDelay {
+	if s.life.incarnation == 0 || time.Since(s.openedAt) < earlierOrderDelay {
 		return longest // the deadlines of earlier sessions and holders are not known
 	}
 	return min(longest, max(s.latestDeadlineMS-clockMS, 0))
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -62,6 +62,7 @@
 	cancel     context.CancelFunc
 	startSlots chan struct{}
 	stopSlots  chan struct{}
+	openedAt   time.Time
 
 	mu   sync.Mutex
 	life workerLife
@@ -88,7 +89,10 @@
 
 func newSession(h *holder, target Target) *session {
 	ctx, cancel := context.WithCancel(h.ctx)
-	s := &session{holder: h, target: target, ctx: ctx, cancel: cancel, startSlots: make(chan struct{}, maxConcurrentStarts), stopSlots: make(chan struct{}, maxConcurrentStops), abortRenewal: func() {}}
+	s := &session{
+		holder: h, target: target, ctx: ctx, cancel: cancel, openedAt: time.Now(), abortRenewal: func() {},
+		startSlots: make(chan struct{}, maxConcurrentStarts), stopSlots: make(chan struct{}, maxConcurrentStops),
+	}
 	s.token, s.effective = h.tokens.first()
 	return s
 }
@@ -116,7 +120,11 @@
 		listing := result.Listing
 		if !s.recordResponse(renewal.Token, result) {
 			s.reportInterrupted(listing.RequestedAt)
-			if !s.isSuperseded(renewal.Token) && !clock.Sleep(s.ctx, renewalRetryDelay) {
+			if s.isSuperseded(renewal.Token) {
+				continue
+			}
+			s.checkLease()
+			if !clock.Sleep(s.ctx, renewalRetryDelay) {
 				return
 			}
 			continue
@@ -190,7 +198,11 @@
 	defer cancel()
 	s.mu.Lock()
 	s.abortRenewal = cancel
+	superseded := r.Token < s.token
 	s.mu.Unlock()
+	if superseded {
+		return LeaseRenewalResult{Listing: cell.Listing{RequestedAt: s.holder.now()}}, context.Canceled
+	}
 	if s.isAnswering() {
 		return s.renewOnce(ctx, r)
 	}
@@ -274,10 +286,15 @@
 		s.holder.logger.Warn("worker_lost", zap.String("worker", s.target.ID), zap.Error(err))
 		s.report(func(sched *cell.Scheduler) { sched.WorkerUnreachable(s.target.ID, sentAt) })
 	}
+	s.checkLease()
+	return true
+}
+
+// checkLease reports the end of the lease of the known incarnation, once it is certain.
+func (s *session) checkLease() {
 	if at, known := s.leaseEnd(); known && s.holder.confirmedSince(at) {
 		s.leaseExpired()
 	}
-	return true
 }
 
 // reportInterrupted tells the scheduler that a renewal, sent at the given time, was not answered by
