Model orders to a worker that restarts under its ID

A start, renewal or stop that got no answer may be carried out at any later time by any incarnation that has seen no higher token. spec/lives.pml searches one task, one holder, one restarting worker and a second place for: two runs at once, and a start after the end of a done run was acknowledged. Rules that the model found to be needed and the code lacks are mutants: STOP_CLOSES, LEASE_FROM_ANSWER, CLEAR_OTHER, DROP_OTHER. spec/README.md says where the code has them; no code changes here. The assumption BOUND, that late orders reach an unlisted incarnation only while the holder reckons with them, is named; without either part (LATE_START, LATE_ACK) the search finds a breach.

Ruled out: a model with time, because the longest lease as one step keeps the search small.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -65,6 +65,19 @@
 fail cell -DNO_STOP
 fail cell -DSTOP_OPEN
 fail cell -DACK_EARLY
+pass lives
+pass lives -DRESTARTS=3 -DRUNS=2
+fail lives -DSAME_TOKEN
+fail lives -DLIST_AT_ONCE
+fail lives -DFORGET_UNANSWERED
+fail lives -DANSWER_OF_KNOWN
+fail lives -DLATE_START
+fail lives -DLATE_ACK
+fail lives -DSTOP_CLOSES
+fail lives -DLEASE_FROM_ANSWER
+fail lives -DCLEAR_OTHER
+fail lives -DDROP_OTHER
+fail lives -DNEVER_DONE
 pass lanes
 pass lanes -DWRITES=5
 fail lanes -DOPEN_UNCLAIMED
