--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -72,8 +72,8 @@
 
 // LeaseExpired reports that the lease of a worker's known incarnation has expired, so that nothing
 // that it has answered can still run there. These tasks are placed again. A start without an answer may
-// have been carried out by a later incarnation, which the holder has not listed: the lease there ends
-// Config.LongestLeaseMS after the start at the latest, and the task is placed again then.
+// have been carried out by a later incarnation, which the holder has not listed: its task is placed
+// again once the longest lease after the worker stopped answering has passed.
 func (s *Scheduler) LeaseExpired(workerID string) {
 	if w := s.workers[workerID]; w != nil && w.hasUnansweredStart() {
 		silentSince := s.now
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -73,8 +73,8 @@
 	// observeInterval is the interval at which the newest claim is read.
 	observeInterval = 60 * time.Millisecond
 	// authorityPeriod is how long a holder may renew worker leases after its claim was
-	// last confirmed by the log. A new holder waits for this period and one lease
-	// before it treats an unreachable worker as empty.
+	// last confirmed by the log. A new holder waits for this period and the longest
+	// lease before it treats an unreachable worker as empty.
 	authorityPeriod = 3 * time.Second
 	// logSilence is the minimum time an append must be outstanding before the holder
 	// refuses new jobs and notifies its followers.
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -31,7 +31,8 @@
 	acknowledgeTimeout      = 250 * time.Millisecond
 	acknowledgePollInterval = 5 * time.Millisecond
 	// acknowledgeWindow is how long after a response of the worker ended tasks may be
-	// acknowledged, also across a suspension of this VM. A worker takes longer to restart.
+	// acknowledged, also across a suspension of this VM. A worker that restarts within it is not
+	// harmed, as its new incarnation refuses orders for the former one once it is listed.
 	acknowledgeWindow = time.Second
 	// renewalRetryDelay is the delay after a renewal without a response.
 	renewalRetryDelay = 150 * time.Millisecond
@@ -360,7 +361,7 @@
 // prepareStart returns the terms of a start that is sent now, and whether one may be sent: the worker
 // must answer renewals, or its clock is not known, the term must not have ended nor its release
 // begun, and the lease that the start gives must end before a next holder that does not reach the
-// worker places its tasks elsewhere.
+// worker places its tasks elsewhere. An incarnation that has restarted unnoticed takes a longer one.
 func (s *session) prepareStart() (startTerms, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
