Stop an adopted gang whose other members no worker runs

Cause: a holder that begins a release sends no more starts and makes no more passes. If the release begins between the starts of one gang, some members run, the others are not sent, and the stops that follow from that are never emitted. The same is left if a start is lost shortly before, or if the term ends before the stops of a gang with an unanswered start are carried out. The next holder adopts the members that run. A gang with any attempt is not placed, so nobody starts the missing members, and nothing stops the adopted ones before the worker ends them as alone.

Fix: once every worker that may run a member for an earlier holder has sent a listing, an adopted gang with a missing member is stopped and placed again. A gang of which a member has failed is left to its workers, which end the others.

--- a/internal/cell/ends.go
+++ b/internal/cell/ends.go
@@ -57,10 +57,12 @@
 	case e.Kind == EndDone:
 		s.taskDone(t)
 	case e.Kind == EndFailed:
+		st.brokenRun = max(st.brokenRun, e.Run)
 		s.delayRestart(t, w, startedAt)
 		s.countFailure(t, e, w)
 	case e.Kind == EndGangMemberEnded:
 		// The worker ends the other members of the gang itself.
+		st.brokenRun = max(st.brokenRun, e.Run)
 		s.enqueue(st)
 	default:
 		s.emit(LogEvent{Event: EventRunLost, Failed: e.Kind != EndStopped, Job: st.job.ID, Task: e.Task.String(), Run: e.Run, Worker: w.ID, Detail: string(e.Kind)})
--- a/internal/cell/gang.go
+++ b/internal/cell/gang.go
@@ -56,6 +56,7 @@
 // reservations.
 func (s *Scheduler) placeGang(st *step, mayReserve bool) (reserves bool) {
 	if st.hasAttempts() {
+		s.stopIncompleteGang(st)
 		return false
 	}
 	if st.job.Queue.Policy != nil && !st.permits.answered {
@@ -152,6 +153,25 @@
 	return false
 }
 
+// stopIncompleteGang stops the adopted members of a gang if no worker can be running the others:
+// the term of the earlier holder ended between their starts, and no holder sends the missing ones.
+// The adopted members would wait for them until they end as EndGangIncomplete. This holder
+// starts the members of a gang together, so one that it placed is not affected.
+func (s *Scheduler) stopIncompleteGang(st *step) {
+	incomplete := false
+	for _, t := range st.tasks {
+		incomplete = incomplete || len(t.attempts) == 0
+		for _, a := range t.attempts {
+			if a.placed || a.run <= st.brokenRun {
+				return
+			}
+		}
+	}
+	if incomplete {
+		s.stopStep(st, "gang_incomplete")
+	}
+}
+
 // startGang starts the gang if all of its tasks fit on the candidates.
 func (s *Scheduler) startGang(st *step, cands []candidate) bool {
 	if st.def.OneRack {
--- a/internal/cell/reconcile_test.go
+++ b/internal/cell/reconcile_test.go
@@ -393,3 +393,90 @@
 	}
 	assert.Equal(t, len(r.stops), stops, "the second run of the gang goes on")
 }
+
+// Guards against a gang member that waits alone on its worker because the term of an earlier holder ended between the starts of the gang.
+func TestIncompleteGangOfEarlierHolderIsStopped(t *testing.T) {
+	for _, queue := range []Queue{{}, permitQueue()} {
+		r := newRig(t, 3, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		r.allow = func(string, string) bool { return true }
+		r.submit(Job{ID: jobID(1), Queue: queue, Steps: []Step{{Tasks: 3, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000, Gang: true}}})
+		assert.Equal(t, len(r.starts), 3)
+		r.workers["w01"].running = nil // the start was not sent
+		r.workers["w02"].unreachable = true
+		r.takeOver(2)
+		assert.Equal(t, len(r.stops), 0, "w02 may be running a member")
+		r.workers["w02"].unreachable = false
+		r.sendListing("w02")
+		r.runActions()
+		assert.Equal(t, len(r.stops), 2)
+		for range 30 {
+			r.advance(searchIntervalMS)
+		}
+		assert.Equal(t, len(r.stops), 2)
+		assert.Equal(t, len(r.starts), 6, "the gang runs again")
+		for _, start := range r.starts[3:] {
+			assert.Assert(t, start.Run > r.starts[0].Run)
+			r.endRun(start.Worker, start.Task, start.Run, EndDone)
+		}
+		r.advance(10)
+		assert.Equal(t, r.state(jobID(1)), Completed)
+	}
+}
+
+// Guards against a whole gang of an earlier holder that is stopped because the task list of a draining worker, which has not sent a listing, is not heeded.
+func TestGangWithMemberOnClosedWorkerIsKept(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000, Gang: true}))
+	assert.Equal(t, len(r.starts), 2)
+	r.infos[1].Draining = true
+	r.s.SetWorkers(r.infos)
+	r.advance(checkIntervalMS)
+	r.advance(closingDelayMS)
+	r.workers["w01"].unreachable = true
+	r.takeOver(2)
+	r.advance(searchIntervalMS)
+	assert.Assert(t, r.s.mayPlaceRestored())
+	assert.Equal(t, len(r.stops), 0)
+	r.workers["w01"].unreachable = false
+	r.advance(searchIntervalMS)
+	assert.Equal(t, len(r.stops), 0)
+	assert.Equal(t, len(r.starts), 2)
+}
+
+// Guards against a gang member that waits alone because the earlier holder stopped its gang and its term ended before all stops were sent.
+func TestRestOfStoppedGangIsStopped(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000, Gang: true}))
+	assert.Equal(t, len(r.starts), 2)
+	r.endRun("w00", r.workers["w00"].running[0].Task, r.starts[0].Run, EndStopped)
+	r.takeOver(2) // w00 sends the first listing
+	assert.Equal(t, len(r.stops), 1)
+	for range 30 {
+		r.advance(searchIntervalMS)
+	}
+	assert.Equal(t, len(r.starts), 4, "the gang runs again")
+}
+
+// Guards against a stop of each member of an adopted gang whose workers end them because one member has failed.
+func TestAdoptedGangWithFailedMemberIsNotStopped(t *testing.T) {
+	for _, kind := range []EndKind{EndFailed, EndGangMemberEnded} {
+		r := newRig(t, 3, Resources{CPUMilli: 1000, MemoryMB: 1000})
+		r.submit(oneStep(jobID(1), Step{Tasks: 3, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000, Gang: true}))
+		assert.Equal(t, len(r.starts), 3)
+		r.takeOver(2)
+		first := r.starts[0]
+		r.endRun(first.Worker, first.Task, first.Run, kind)
+		r.advance(searchIntervalMS)
+		assert.Equal(t, len(r.stops), 0, "after %s", kind)
+	}
+}
+
+// Guards against a stop of each member of a gang of a service that this holder placed and whose workers end them because one member has ended.
+func TestPlacedGangOfServiceIsLeftToItsWorkers(t *testing.T) {
+	r := newRig(t, 2, Resources{CPUMilli: 1000, MemoryMB: 1000})
+	r.submit(oneStep(jobID(1), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000, Gang: true, LongRunning: true}))
+	assert.Equal(t, len(r.starts), 2)
+	r.endLast(EndDone)
+	r.advance(searchIntervalMS)
+	assert.Equal(t, len(r.stops), 0)
+}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -53,6 +53,7 @@
 	failed       []uint32 // failed runs of a gang
 	failedOn     []string // workers on which a run of a task failed
 	lastRun      uint32   // highest run number of all tasks
+	brokenRun    uint32   // newest run of a gang that a failed member ended; the workers end the others
 	checkpoint   string   // newest checkpoint of a gang
 	started      bool
 	gangEnd      Instant  // when the slowest member of a running gang is estimated to end
