--- a/internal/entry/life.go
+++ b/internal/entry/life.go
@@ -52,9 +52,10 @@
 	return clockMS < least || clockMS > most
 }
 
-// recordResponse records a response to a renewal with the given token. It reports whether the listing may be used. It may not if orders that were meant for
-// a former incarnation may still change the present one: they could end the lease later than this
-// session knows, begin runs, or make the worker forget ends that are not read yet.
+// recordResponse records a response to a renewal with the given token. It reports whether the
+// listing may be used. It may not if orders that were meant for a former incarnation may still change
+// the present one: they could end the lease later than this session knows, begin runs, or make the
+// worker forget ends that are not read yet.
 func (s *session) recordResponse(token int64, r LeaseRenewalResult) bool {
 	incarnation := r.Listing.Incarnation
 	s.mu.Lock()
