--- a/internal/entry/tokens.go
+++ b/internal/entry/tokens.go
@@ -24,8 +24,8 @@
 	t.newest = max(t.newest, end)
 }
 
-// first returns the token of a new session, which is not below that of an earlier session, and whether orders with it may be under way to a former
-// incarnation of its worker, from an earlier session.
+// first returns the token of a new session, which is not below that of an earlier session, and whether
+// orders of an earlier session with it may be under way to a former incarnation of its worker.
 func (t *orderTokens) first() (token int64, used bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
