--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -1,25 +1,11 @@
 package cell
 
 import (
-	"cmp"
 	"fmt"
 	"iter"
 	"slices"
 )
 
-// runTime returns the estimated run time of a task of the step on the worker, in ms.
-func (s *Scheduler) runTime(st *step, w *worker) int64 {
-	if st.isRemote(w) {
-		return int64(float64(st.def.EstimateMS) * s.cfg.RemoteDataFactor)
-	}
-	return st.def.EstimateMS
-}
-
-// isRemote reports whether the worker is on another rack than the step's data.
-func (s *step) isRemote(w *worker) bool {
-	return s.def.DataRack != "" && w.Rack != s.def.DataRack
-}
-
 // A placement pass tries the steps at the front of the queue until frontTries of them
 // did not fit, and then rotatingTries more steps, which change from pass to pass.
 // Trying every step would make passes over a long queue expensive; trying only the
@@ -107,51 +93,6 @@
 	return position > s.rotation && position <= s.rotation+rotatingTries
 }
 
-// lateness classifies a step by what starting it now means for its job's objective.
-type lateness int
-
-const (
-	onTime  lateness = iota
-	late             // the job misses its objective and has reduced value
-	expired          // the job has no value any more
-)
-
-func (s *step) lateness(now Instant) lateness {
-	switch {
-	case s.def.LongRunning || now <= s.latestStart:
-		return onTime
-	case now <= s.expires:
-		return late
-	}
-	return expired
-}
-
-// order returns the waiting steps in placement order: steps that can still be on time,
-// then late ones, then expired ones, each by latest start.
-func (s *Scheduler) order() []*step {
-	var byLateness [expired + 1][]*step
-	for _, st := range s.waiting {
-		l := st.lateness(s.now)
-		byLateness[l] = append(byLateness[l], st)
-	}
-	// Among the steps on time, wide gangs come first, because all of their tasks need
-	// capacity at the same time.
-	slices.SortStableFunc(byLateness[onTime], func(a, b *step) int { return b.wideGangRank() - a.wideGangRank() })
-	return slices.Concat(byLateness[onTime], byLateness[late], byLateness[expired])
-}
-
-// wideGangTasks is the minimum number of tasks of a gang that is placed ahead of other
-// steps. Smaller gangs fit about as easily as single tasks.
-const wideGangTasks = 4
-
-// wideGangRank returns 1 for a wide gang and 0 for any other step.
-func (s *step) wideGangRank() int {
-	if s.def.Gang && len(s.tasks) >= wideGangTasks {
-		return 1
-	}
-	return 0
-}
-
 // placeable reports whether tasks of the step may be started: the job is stored and, if
 // restored, no worker may be running them for an earlier holder.
 func (s *Scheduler) placeable(st *step) bool {
@@ -397,31 +338,6 @@
 	return st.failedOn
 }
 
-// rank sorts candidates by preference: workers that are not slow first, then those near
-// the step's data, then those with the least free CPU, so that large blocks of capacity
-// stay free for large tasks.
-func (s *Scheduler) rank(st *step, cands []candidate) {
-	slices.SortFunc(cands, func(a, b candidate) int {
-		return cmp.Or(
-			compareBools(a.worker.speed.isSlow(s.now), b.worker.speed.isSlow(s.now)),
-			compareBools(st.isRemote(a.worker), st.isRemote(b.worker)),
-			cmp.Compare(a.worker.free().CPUMilli, b.worker.free().CPUMilli),
-			cmp.Compare(a.worker.ID, b.worker.ID),
-		)
-	})
-}
-
-// compareBools orders false before true.
-func compareBools(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // allowedWorkers returns the IDs of eligible workers that the policy service allows,
 // sorted.
 func (s *Scheduler) allowedWorkers(st *step) []string {
