Decide in the cell whether a job is admitted, and add the type of a workspace

The checks on a submitted job stood in internal/entry; further ones (limits, overload) belong to the scheduler, which knows the queue. Same checks, errors and retry delays as before. The list of workspaces is stored and not used yet.

--- a/internal/cell/admission.go
+++ b/internal/cell/admission.go
@@ -1,6 +1,49 @@
 package cell
 
-// This file limits the calls of the policy service that accepted jobs wait for. When few entry
+import (
+	"fmt"
+
+	"github.com/fulmarlatch/fulmarlatch/internal/fault"
+)
+
+// Retry delays advised to callers whose job is refused, in ms.
+const (
+	// retryNoCapacityMS is for a job that fits on no worker. Workers need about that time to
+	// return after maintenance or a crash.
+	retryNoCapacityMS = 5000
+	// MinOverloadRetryMS is the least delay, in ms, for a job that is refused for waiting calls. It is
+	// about the duration of one long call.
+	MinOverloadRetryMS = 1000
+)
+
+// Admit returns nil if the job may be accepted, and otherwise a *fault.Error that says why it
+// is refused and when a retry makes sense. A job that is known is not refused, because it may
+// have been accepted before. Admit must be called before Submit.
+func (s *Scheduler) Admit(spec *Job) error {
+	if s.HasJob(spec.ID) {
+		return nil
+	}
+	if !s.CanEverRun(spec) {
+		e := fault.New(fault.NoCapacity, "no worker of the service can run a step of the job", "send the job again when such workers have been added")
+		e.RetryAfterMS = retryNoCapacityMS
+		return e
+	}
+	if overload := s.CallOverloadMS(spec); overload > 0 {
+		return errCallOverload(overload)
+	}
+	return nil
+}
+
+// errCallOverload returns the error for a job that would have to wait for too long until the
+// policy service can be asked about it. The retry delay is the time in which the calls that
+// are too many will have been made.
+func errCallOverload(overloadMS int64) error {
+	e := fault.New(fault.NoCapacity, fmt.Sprintf("the calls of the policy service for accepted jobs take %d ms too long", overloadMS), "send the job again after the retry delay")
+	e.RetryAfterMS = max(overloadMS, MinOverloadRetryMS)
+	return e
+}
+
+// The rest of this file limits the calls of the policy service that accepted jobs wait for. When few entry
 // processes are left, they make fewer calls than the jobs that arrive need. Steps that are
 // late are asked about last, so the ones that were accepted too many would wait for as
 // long as that lasts.
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -126,6 +126,9 @@
 	Schedule *Schedule `cbor:"5,keyasint,omitempty"`
 	// AcceptedUnixMS is the wall-clock time at which the holder accepted the job.
 	AcceptedUnixMS int64 `cbor:"6,keyasint"`
+	// Workspace is the name of the workspace that submitted the job; empty if the deployment has
+	// no workspaces, or the caller needed no key.
+	Workspace string `cbor:"7,keyasint,omitempty"`
 }
 
 // Check returns a fault of kind Invalid that names the first invalid value, or nil.
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -296,14 +296,15 @@
 	// workersVersion changes whenever a worker may have become suitable for a step or begins
 	// another life. What a step has concluded from all workers holds for one version only.
 	workersVersion uint64
-	unanswered     map[*worker]bool     // workers whose unansweredUntil is set
-	lost           map[string]*lostRuns // runs of workers that have stopped answering, by worker ID
-	trials         []*attempt           // runs of suspected tasks
-	callQueue      []*permitCall        // waiting for a caller
-	backlog        callBacklog          // of calls, as last computed
-	queuedCalls    map[bool]int         // number of calls in callQueue by permitCall.isLong
-	endedJobs      []*job               // in order of their end
-	scheduledJobs  []*job               // jobs with future occurrences
+	unanswered     map[*worker]bool      // workers whose unansweredUntil is set
+	lost           map[string]*lostRuns  // runs of workers that have stopped answering, by worker ID
+	trials         []*attempt            // runs of suspected tasks
+	workspaces     map[string]*Workspace // by name
+	callQueue      []*permitCall         // waiting for a caller
+	backlog        callBacklog           // of calls, as last computed
+	queuedCalls    map[bool]int          // number of calls in callQueue by permitCall.isLong
+	endedJobs      []*job                // in order of their end
+	scheduledJobs  []*job                // jobs with future occurrences
 }
 
 // New returns a Scheduler without jobs and workers.
--- /dev/null
+++ b/internal/cell/workspaces.go
@@ -0,0 +1,19 @@
+package cell
+
+// Workspace is a workspace as the configuration defines it.
+type Workspace struct {
+	Name string
+	// Weight is the workspace's share relative to that of other workspaces, and the number of
+	// jobs a second that it may submit, both when capacity is short.
+	Weight float64
+	// Limit is what the workspace may have running on all workers. An amount of 0 means no limit.
+	Limit Resources
+}
+
+// SetWorkspaces replaces the workspaces in force; nil means that the deployment has none.
+func (s *Scheduler) SetWorkspaces(list []Workspace) {
+	s.workspaces = make(map[string]*Workspace, len(list))
+	for i := range list {
+		s.workspaces[list[i].Name] = &list[i]
+	}
+}
--- a/internal/entry/backlog_test.go
+++ b/internal/entry/backlog_test.go
@@ -28,7 +28,7 @@
 		switch {
 		case err == nil:
 			assert.Equal(t, refused, 0, "job %d is accepted after others were refused", n)
-		case errors.As(err, &e) && e.Kind == fault.NoCapacity && e.RetryAfterMS >= minOverloadRetryMS:
+		case errors.As(err, &e) && e.Kind == fault.NoCapacity && e.RetryAfterMS >= cell.MinOverloadRetryMS:
 			refused++
 		default:
 			t.Fatalf("job %d: %v", n, err)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -71,10 +71,6 @@
 	return min(max(outage.Milliseconds(), minOutageRetryMS), maxOutageRetryMS)
 }
 
-// retryNoCapacityMS is the retry delay advised to callers whose job fits on no worker,
-// in ms. Workers need about that time to return after maintenance or a crash.
-const retryNoCapacityMS = 5000
-
 // postSubmit passes a submission to the control goroutine. Reply is called once the job
 // is stored or refused, and not at all if the term ends before.
 func (h *holder) postSubmit(job *cell.Job, reply func(error)) {
@@ -89,34 +85,14 @@
 			reply(h.errLogDown())
 			return
 		}
-		if !s.HasJob(job.ID) && !s.CanEverRun(job) {
-			e := fault.New(fault.NoCapacity, "no worker of the service can run a step of the job", "send the job again when such workers have been added")
-			e.RetryAfterMS = retryNoCapacityMS
-			h.whenProven(func() { reply(e) })
-			return
-		}
-		if overload := s.CallOverloadMS(job); !s.HasJob(job.ID) && overload > 0 {
-			e := errCallOverload(overload)
-			h.whenProven(func() { reply(e) })
+		if err := s.Admit(job); err != nil {
+			h.whenProven(func() { reply(err) })
 			return
 		}
 		h.accept(s, job, reply)
 	})
 }
 
-// errCallOverload returns the error for a job that would have to wait for too long until the
-// policy service can be asked about it. The retry delay is the time in which the calls that
-// are too many will have been made.
-func errCallOverload(overloadMS int64) error {
-	e := fault.New(fault.NoCapacity, fmt.Sprintf("the calls of the policy service for accepted jobs take %d ms too long", overloadMS), "send the job again after the retry delay")
-	e.RetryAfterMS = max(overloadMS, minOverloadRetryMS)
-	return e
-}
-
-// minOverloadRetryMS is the least retry delay for a job that is refused for waiting calls, in
-// ms. It is about the duration of one long call.
-const minOverloadRetryMS = 1000
-
 // errLogDown returns the error for a job that is refused because the log is silent.
 func (h *holder) errLogDown() error {
 	silent := max(h.writer.silentFor(), h.sinceConfirmed())
