Name the successor of a released cell

Cause: a holder on a VM of 0.48 cores released the cell because a follower had 0.8 (holder_yields), and claimed it again itself. No larger process had held the cell, so BestCPUMilli was its own share and its delay 0, and it was the first to see its release. On a large site that repeated every 10 s: the cell was restored, permits were forgotten, and a quarter of the requests failed.

Change: the released claim names the linked follower with the largest CPU share as the successor, in a planned stop too, and its share counts in BestCPUMilli. The message to the followers carries the same claim and the end of the partition, so the successor appends its claim without reading; the append is conditional and fails if another record came first. If the release could not be stored, the message still tells that the term has ended. A process that has just been too slow, or holds other cells, reports a smaller share, so it is not named before others. The new CBOR keys are set in releases only; earlier versions ignore them, and the other way round.

Ruled out: raising BestCPUMilli alone, as the releasing process is still the first to see the release if the shares are alike; a wait of the releasing process alone, as a third process may claim the cell in the meantime.

--- a/internal/entry/agent.go
+++ b/internal/entry/agent.go
@@ -32,6 +32,9 @@
 	// linkToken is the token of the claim for which the newest link was dialed.
 	linkToken int64
 	stale     claim // a claim that is known not to be renewed any more
+	// released is the newest notice of the end of a term.
+	released  releaseNotice
+	slowUntil time.Time // until then, staleAfterSlow applies, so that other processes claim first
 	// announced is the newest claim that a holder has announced to this process.
 	announced claim
 
@@ -45,7 +48,6 @@
 		renewals   uint32
 		renewalsAt time.Time
 	}
-	slowUntil        time.Time     // until then, staleAfterSlow applies, so that other processes claim first
 	noYieldUntil     time.Time     // until then, this process does not yield the cell
 	servedToken      int64         // token of the newest term of this process; 0 if there was none
 	logSilentReports chan struct{} // signaled when the holder reports a silent log
@@ -99,6 +101,9 @@
 		return 0
 	case newest.Holder != "" && newest.Holder != a.node.cfg.Name:
 		a.follow(ctx, newest, a.dialTimeout())
+		if notice := a.newestRelease(); notice.Token == newest.Token {
+			return a.followRelease(ctx, notice)
+		}
 		return redialDelay
 	}
 	return observeInterval
@@ -144,7 +149,11 @@
 // claimDelay returns how long this process leaves the claim to others that are better
 // suited.
 func (a *agent) claimDelay(c claim) time.Duration {
-	return claimDelay(a.node.cpuMilli(), int(a.node.holding.Load()), c.BestCPUMilli)
+	delay := claimDelay(a.node.cpuMilli(), int(a.node.holding.Load()), c.BestCPUMilli)
+	if released, ok := a.asReleased(c); ok {
+		return released.successorDelay(a.node.cfg.Name, delay)
+	}
+	return delay
 }
 
 // mayClaim reports whether this process may supersede the claim.
@@ -154,9 +163,9 @@
 	switch {
 	case a.node.Stopping():
 		return false
-	case time.Now().Before(a.slowUntil):
+	case a.isSlow() && !a.isSuccessor(c):
 		return unchanged > staleAfterSlow
-	case c.Holder == "" || a.isStale(c) || c.Token == a.servedToken:
+	case a.isReleased(c) || a.isStale(c) || c.Token == a.servedToken:
 		// A claim of this process whose release failed. A token serves one term only:
 		// the log would take the appends of another one for repeats.
 		return unchanged >= delay
@@ -204,7 +213,7 @@
 	a.watch.since = time.Time{}
 	switch cause {
 	case causeSlow, causePanic:
-		a.slowUntil = time.Now().Add(slowPeriod)
+		a.setSlow(slowPeriod)
 	case causeYielded:
 		a.noYieldUntil = time.Now().Add(yieldPause)
 	}
@@ -370,7 +379,11 @@
 		}
 		a.node.spawn(func() { r.Reply(a.node.permits(in)) })
 	case kindRelease:
-		// The next read of the claim returns the released one.
+		var notice releaseNotice
+		if err := r.Decode(&notice); err != nil {
+			a.logger.Warn("release_not_decoded", zap.Error(err)) // the log holds the release too
+		}
+		a.recordRelease(notice)
 		l.Close()
 	case kindLogSilent:
 		select {
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -26,12 +26,17 @@
 	Renewals uint32 `cbor:"6,keyasint,omitempty"` // number of renewals so far
 	// Lanes are the lanes that may hold records of the cell.
 	Lanes laneSet `cbor:"7,keyasint,omitempty"`
-	// BestCPUMilli is the largest CPU share of a process that has held the cell, in
-	// thousandths of a core.
+	// BestCPUMilli is the largest CPU share of a process that has held the cell or was named
+	// as a successor, in thousandths of a core.
 	BestCPUMilli uint64 `cbor:"8,keyasint,omitempty"`
 	// EarlyRelease is set in the release of a term that was shorter than authorityPeriod:
 	// a holder before it may still renew leases.
 	EarlyRelease bool `cbor:"9,keyasint,omitempty"`
+	// ReleasedBy and Successor are set in a release: the process that has released the cell,
+	// and the one that is to claim it next, which is empty if there is none. The others leave
+	// it some time, see successorWait. Earlier versions ignore both.
+	ReleasedBy string `cbor:"10,keyasint,omitempty"`
+	Successor  string `cbor:"11,keyasint,omitempty"`
 }
 
 const claimKey = "holder"
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
 	"gotest.tools/v3/assert"
@@ -191,16 +192,38 @@
 type clientLog struct {
 	*fakeLog
 	disconnected atomic.Bool
+	// appendDelay is how long an append takes, in ns. One that takes longer than its caller
+	// waits is carried out afterwards.
+	appendDelay atomic.Int64
+	// onRelease is called before a claim that releases a cell is appended, unless it is nil.
+	onRelease atomic.Pointer[func()]
 }
 
 func (l *clientLog) Append(ctx context.Context, a Append) (int64, error) {
+	if f := l.onRelease.Load(); f != nil && isRelease(a) {
+		(*f)()
+	}
 	if l.disconnected.Load() {
 		<-ctx.Done()
 		return 0, &AppendError{Failure: AppendUnanswered, Err: errSilentLog}
 	}
+	if d := time.Duration(l.appendDelay.Load()); d > 0 {
+		time.Sleep(d)
+		end, err := l.fakeLog.Append(context.WithoutCancel(ctx), a)
+		if ctx.Err() != nil {
+			return 0, &AppendError{Failure: AppendUnanswered, Err: ctx.Err()}
+		}
+		return end, err
+	}
 	return l.fakeLog.Append(ctx, a)
 }
 
+// isRelease reports whether an append contains a claim without a holder.
+func isRelease(a Append) bool {
+	var c claim
+	return a.Topic == topicClaims && cbor.Unmarshal(a.Records[0].Value, &c) == nil && c.Holder == ""
+}
+
 func (l *clientLog) Newest(ctx context.Context, topic string, partition int, _ ...string) ([]cell.Record, int64, error) {
 	if l.disconnected.Load() {
 		<-ctx.Done()
--- a/internal/entry/followers.go
+++ b/internal/entry/followers.go
@@ -66,17 +66,20 @@
 // receipt.
 const broadcastTimeout = 200 * time.Millisecond
 
-// broadcast sends a request without a body to all followers, without waiting for the
-// replies.
-func (h *holder) broadcast(kind link.Kind) {
+// broadcast sends a request to all followers, without waiting for the replies.
+func (h *holder) broadcast(kind link.Kind, body any) {
 	for _, l := range h.followerLinks() {
-		h.node.spawn(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), broadcastTimeout)
-			defer cancel()
-			if err := l.Call(ctx, kind, nil, nil); err != nil {
-				h.logger.Debug("follower_not_told", zap.String("follower", l.Peer().Name), zap.Error(err))
-			}
-		})
+		h.node.spawn(func() { h.notify(l, kind, body) })
+	}
+}
+
+// notify sends a request to a follower and waits for its receipt, for up to
+// broadcastTimeout.
+func (h *holder) notify(l *link.Link, kind link.Kind, body any) {
+	ctx, cancel := context.WithTimeout(context.Background(), broadcastTimeout)
+	defer cancel()
+	if err := l.Call(ctx, kind, body, nil); err != nil {
+		h.logger.Debug("follower_not_told", zap.String("follower", l.Peer().Name), zap.Error(err))
 	}
 }
 
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -12,7 +12,7 @@
 	kindCancel                             // to the holder: jobRequest, no reply body
 	kindPending                            // to the holder: pendingRequest, pendingReply
 	kindPermits                            // to a follower: permitsRequest, permitsReply
-	kindRelease                            // to a follower: the holder has released the cell
+	kindRelease                            // to a follower: releaseNotice; the holder has released the cell
 	kindLogSilent                          // to a follower: the log does not respond to the holder
 	kindAnnounce                           // to any process: announcement, no reply body
 	kindConfiguration                      // to the holder: configurationRequest, configurationReply
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -215,7 +215,11 @@
 	if n.Stopping() {
 		return link.Status{}
 	}
-	return link.Status{CPUMilli: n.cpuMilli()}
+	if agents[index].isSlow() {
+		return link.Status{} // it has just released the cell because it was too slow
+	}
+	// A process that holds other cells has only a part of its share left.
+	return link.Status{CPUMilli: n.cpuMilli() / uint64(1+n.holding.Load())}
 }
 
 // holderFor returns this process's holder of the cell that the link is for, or nil.
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -17,7 +17,7 @@
 	h.refuseUnsent()
 	if time.Since(h.silenceReportedAt) > logSilence {
 		h.silenceReportedAt = time.Now()
-		h.broadcast(kindLogSilent)
+		h.broadcast(kindLogSilent, nil)
 	}
 }
 
@@ -169,24 +169,32 @@
 	releaseFlushTimeout = 80 * time.Millisecond
 )
 
-// releaseClaim appends a claim without a holder and notifies the followers.
+// releaseClaim appends a claim without a holder, which names a successor if there is one, and
+// notifies the followers.
 func (h *holder) releaseClaim(end int64) {
 	for start := time.Now(); !h.writer.idle() && time.Since(start) < releaseFlushTimeout; {
 		if !clock.Sleep(h.ctx, appendDelay) {
 			return
 		}
 	}
-	if _, err := h.agent.claims.append(h.ctx, h.releasedClaim(), end); err != nil {
+	notice := releaseNotice{Claim: h.releasedClaim(), Token: h.claim.Token}
+	newEnd, err := h.agent.claims.append(h.ctx, notice.Claim, end)
+	if err != nil {
 		h.logger.Warn("release_failed", zap.Error(err))
+	} else {
+		notice.End = newEnd
 	}
-	h.broadcast(kindRelease)
+	h.agent.recordRelease(notice)
+	h.announceRelease(notice)
 	h.endTerm(causeReleased)
 }
 
 // releasedClaim returns the claim without a holder that releases the cell.
 func (h *holder) releasedClaim() claim {
+	successor, cpuMilli := h.strongestFollower()
 	return claim{
-		Term: h.claim.Term, Lanes: h.writer.lanesToClaim(), BestCPUMilli: h.claim.BestCPUMilli,
+		Term: h.claim.Term, Lanes: h.writer.lanesToClaim(), BestCPUMilli: max(h.claim.BestCPUMilli, cpuMilli),
 		EarlyRelease: h.priorAuthority > 0 && time.Since(h.startedAt) < authorityPeriod,
+		ReleasedBy:   h.node.cfg.Name, Successor: successor,
 	}
 }
--- a/internal/entry/yield.go
+++ b/internal/entry/yield.go
@@ -43,10 +43,12 @@
 }
 
 // strongestFollower returns the linked follower with the largest CPU share that could
-// become the holder, and that share in thousandths of a core.
+// become the holder, and that share in thousandths of a core. Of equal ones, it is the first
+// by name. The name is empty if there is none.
 func (h *holder) strongestFollower() (name string, cpuMilli uint64) {
 	for follower, l := range h.followerLinks() {
-		if status, _ := l.PeerStatus(); status.CPUMilli > cpuMilli {
+		status, _ := l.PeerStatus()
+		if status.CPUMilli > cpuMilli || status.CPUMilli == cpuMilli && cpuMilli > 0 && follower < name {
 			name, cpuMilli = follower, status.CPUMilli
 		}
 	}
