--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -29,6 +29,7 @@
 	"unanswered-start": unansweredStart,
 	"takeover":         takeover,
 	"permits":          permits,
+	"sequence":         sequence,
 }
 
 func main() {
--- a/review/rig-3/rig.go
+++ b/review/rig-3/rig.go
@@ -73,6 +73,7 @@
 	binary  string
 	folder  string // temporary
 	store   *platformtest.Log
+	proxy   *storeProxy // through which the entry processes reach the store
 	workers []*worker
 	entries []*entryProcess
 	queues  []*queue
@@ -107,6 +108,7 @@
 	if r.store, err = platformtest.NewLog(); err != nil {
 		return nil, err
 	}
+	r.proxy = newStoreProxy(r, r.store.Address)
 	r.configure()
 	for i := range workers {
 		w, err := newWorker(r, i)
@@ -199,7 +201,7 @@
 			"faultTolerance": map[string]int{"machines": 2, "zones": 0, "regions": 0}, "bounds": bounds, "controlMode": "request",
 			"advice": p.address,
 			"platform": map[string]any{
-				"address": r.store.Address, "form": "log", "writesPerS": 800, "readsPerS": 2000, "parts": 16, "appendMs": 3.0, "partMbPerS": 20.0,
+				"address": r.proxy.address, "form": "log", "writesPerS": 800, "readsPerS": 2000, "parts": 16, "appendMs": 3.0, "partMbPerS": 20.0,
 				"readMbPerS": 80.0, "recordBytes": 262144, "requestBytes": 2097152, "keep_s": 300, "partitionMb": 200, "minTtlMs": 1000,
 			},
 		},
