Log appends that are refused while an earlier call has no response

append_refused_after_unanswered_call names the topic, the number and the calls that are still open; lane_fails and lane_answers name the number and the first key when a lane stops or starts to answer. One line for each change, so the volume stays bounded. No change of logic.

--- a/internal/entry/append.go
+++ b/internal/entry/append.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/cell"
 	"github.com/fulmarlatch/fulmarlatch/internal/clock"
@@ -54,7 +55,12 @@
 			})
 			timer.Reset(resendInterval)
 		case err = <-responses:
-			if waiting--; !isUnanswered(err) || waiting == 0 {
+			waiting--
+			if err != nil && !isUnanswered(err) && waiting > 0 {
+				w.logger.Warn("append_refused_after_unanswered_call", zap.String("topic", a.Topic), zap.Int64("sequence", a.Writer.Sequence),
+					zap.Int("records", len(a.Records)), zap.Int("open", waiting), zap.Error(err))
+			}
+			if !isUnanswered(err) || waiting == 0 {
 				return err
 			}
 		}
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -92,6 +92,21 @@
 	// append.
 	unanswered []cell.Record
 	sentAt     time.Duration // since boot, when it was first sent
+	failing    bool          // the last append failed
+}
+
+// logResult logs an append that fails after a successful one, or the reverse, with the
+// sequence number under which it was sent.
+func (s *stream) logResult(logger *zap.Logger, lane int, records []cell.Record, err error) {
+	if s.failing == (err != nil) {
+		return
+	}
+	s.failing = err != nil
+	event := "lane_answers"
+	if s.failing {
+		event = "lane_fails"
+	}
+	logger.Info(event, zap.Int("lane", lane), zap.Int64("sequence", s.nextSequence), zap.Int("records", len(records)), zap.String("first_key", records[0].Key), zap.Error(err))
 }
 
 func newRecordWriter(log Log, index, partitions int, epoch int64, logger *zap.Logger) *recordWriter {
@@ -345,7 +360,9 @@
 	s := &w.streams[lane]
 	if s.unanswered != nil {
 		repeat := sameRecords(s.unanswered, records)
-		switch err := w.appendSentAt(ctx, lane, s.unanswered, s.nextSequence, s.sentAt); {
+		err := w.appendSentAt(ctx, lane, s.unanswered, s.nextSequence, s.sentAt)
+		s.logResult(w.logger, lane, s.unanswered, err)
+		switch {
 		case isInvalid(err):
 			s.unanswered = nil // no call of it was carried out
 			if repeat {
@@ -366,6 +383,7 @@
 	}
 	sent := clock.SinceBoot()
 	err := w.append(ctx, lane, records, s.nextSequence)
+	s.logResult(w.logger, lane, records, err)
 	expected, outOfOrder := expectedSequence(err)
 	switch {
 	case err == nil:
