Do not use the number of an unanswered append for other records

Cause: an append without a response is sent again in parallel. If the log refused the repeat, the append counted as refused, although the first call was open and had been carried out. The records went to another lane, the sequence number stayed free, and later records of the first lane were sent under it. The log answered them as a repeat of the first call, with 200, and did not store them.

Evidence: append_refused_after_unanswered_call with sequence 66 and one open call, then lane_answers on the same lane with sequence 66 and other records; the store's record shows both appends under that number.

Change: a response other than success decides about its own call only.

--- a/internal/entry/append.go
+++ b/internal/entry/append.go
@@ -38,30 +38,53 @@
 	return err
 }
 
-// sendUntilResponse sends an append, and sends it again every resendInterval until it
-// gets a response. Repeats have no effect because they carry the same sequence number.
+// sendUntilResponse sends an append, and sends it again every resendInterval until its
+// result is known. Repeats have no effect because they carry the same sequence number.
+//
+// A response other than success is about its own call only. An earlier call without a
+// response may have been carried out, so the append is unanswered until one of its calls
+// succeeds, or all have been refused.
 func (w *recordWriter) sendUntilResponse(ctx context.Context, a Append) error {
-	var err error
-	responses := make(chan error, appendTimeout/resendInterval+1)
+	ended := make(chan struct{})
+	defer close(ended)
+	responses := make(chan error)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for waiting := 0; ; {
+	open := 0     // calls that may still be answered
+	lost := false // a call has ended without a response
+	for reported := false; ; {
 		select {
 		case <-timer.C:
-			waiting++
+			open++
 			w.calls.Go(func() {
 				_, err := w.log.Append(ctx, a)
-				responses <- err
+				select {
+				case responses <- err:
+				case <-ended:
+				}
 			})
 			timer.Reset(resendInterval)
-		case err = <-responses:
-			waiting--
-			if err != nil && !isUnanswered(err) && waiting > 0 {
-				w.logger.Warn("append_refused_after_unanswered_call", zap.String("topic", a.Topic), zap.Int64("sequence", a.Writer.Sequence),
-					zap.Int("records", len(a.Records)), zap.Int("open", waiting), zap.Error(err))
-			}
-			if !isUnanswered(err) || waiting == 0 {
+		case err := <-responses:
+			open--
+			// An empty append has no effect that a later call could repeat or miss.
+			isResult := len(a.Records) == 0 || open == 0 && !lost
+			switch {
+			case err == nil || isFenced(err):
+				return err
+			case isUnanswered(err):
+				lost = true
+			case isResult:
 				return err
+			default:
+				if !reported {
+					reported = true
+					w.logger.Warn("append_refused_after_unanswered_call", zap.String("topic", a.Topic), zap.Int64("sequence", a.Writer.Sequence),
+						zap.Int("records", len(a.Records)), zap.Int("open", open), zap.Error(err))
+				}
+				timer.Reset(retryDelay) // the log answers, so the next repeat may tell the result
+			}
+			if open == 0 {
+				return asUnanswered(err)
 			}
 		}
 	}
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -34,7 +34,8 @@
 	// no limit.
 	maxRecordBytes, maxAppendBytes int
 	// outages holds the outage of each partition, by name.
-	outages map[string]outage
+	outages     map[string]outage
+	interrupted map[string]int // number of appends to a partition with the outage interrupted
 }
 
 // outage is the way in which a partition is down.
@@ -45,6 +46,7 @@
 	refuses               // calls are refused at once
 	silent                // calls time out without effect
 	losesResponses        // calls are carried out but time out
+	interrupted           // the first append with records is carried out but times out; later calls are refused
 )
 
 func (l *fakeLog) setDelay(d time.Duration) {
@@ -68,6 +70,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.outages[partitionName(topic, partition)] = o
+	l.interrupted[partitionName(topic, partition)] = 0
+}
+
+// interruptedAppends returns the number of appends since the outage of a partition began.
+func (l *fakeLog) interruptedAppends(topic string, partition int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.interrupted[partitionName(topic, partition)]
 }
 
 func partitionName(topic string, partition int) string { return fmt.Sprintf("%s/%d", topic, partition) }
@@ -82,7 +92,7 @@
 var errSilentLog = errors.New("no response")
 
 func newFakeLog() *fakeLog {
-	return &fakeLog{partitions: map[string]*fakePartition{}, outages: map[string]outage{}}
+	return &fakeLog{partitions: map[string]*fakePartition{}, outages: map[string]outage{}, interrupted: map[string]int{}}
 }
 
 func (l *fakeLog) partition(topic string, index int) *fakePartition {
@@ -105,8 +115,15 @@
 	l.wait(ctx)
 	l.mu.Lock()
 	down, loseResponses := l.down, l.loseResponses
-	switch l.outages[partitionName(a.Topic, a.Partition)] {
-	case refuses:
+	outage := l.outages[partitionName(a.Topic, a.Partition)]
+	if outage == interrupted && len(a.Records) > 0 {
+		l.interrupted[partitionName(a.Topic, a.Partition)]++
+		if l.interrupted[partitionName(a.Topic, a.Partition)] == 1 {
+			outage = losesResponses
+		}
+	}
+	switch outage {
+	case refuses, interrupted:
 		l.mu.Unlock()
 		return 0, &AppendError{Failure: AppendRefused, Err: errSilentLog}
 	case silent:
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -179,6 +179,15 @@
 	return !errors.As(err, &a) || a.Failure == AppendUnanswered
 }
 
+// asUnanswered returns err as the error of an append that may be carried out now or later. A
+// newer holder ends the term in any case.
+func asUnanswered(err error) error {
+	if isUnanswered(err) || isFenced(err) {
+		return err
+	}
+	return &AppendError{Failure: AppendUnanswered, Err: err}
+}
+
 // add queues a record. It never blocks.
 func (w *recordWriter) add(p cell.Persist) {
 	w.mu.Lock()
