Use up the number of an unanswered append that the log does not accept

Cause: if the repeat of an unanswered append was refused for its content, the stream forgot the append and sent other records under its number. The refusal is about the repeat; the first call may have been carried out, and the log then takes the next records for a repeat of it and does not store them.

Change: the number is used up by a record that changes nothing, before other records are sent in that lane. If the first call was carried out, the log answers that record as a repeat; if not, it stores it, and the first call cannot be carried out any more.

Ruled out: ending the term, which costs all callers a takeover for one record.

Before the change TestNumberOfUnansweredAppendIsNotUsedForOtherRecords fails in its case of a log that does not accept the append. A sound log refuses the same content every time, so no play is known in which this loses a record.

--- a/internal/entry/resend_test.go
+++ b/internal/entry/resend_test.go
@@ -52,13 +52,16 @@
 // Guards against records that are lost because a refused repeat of an append makes its sequence number
 // seem free: the log takes the next records under that number for a repeat of the first call.
 func TestNumberOfUnansweredAppendIsNotUsedForOtherRecords(t *testing.T) {
-	for _, failure := range []AppendFailure{AppendRefused, AppendFull} {
+	for _, failure := range []AppendFailure{AppendRefused, AppendFull, AppendInvalid} {
 		t.Run((&AppendError{Failure: failure}).Error(), func(t *testing.T) {
 			t.Parallel()
 			log := newInterruptedLog(topicJobs, failure)
 			w, _ := newStoringWriter(log)
 			first := w.appendTo(within(resendInterval+400*time.Millisecond), 0, recordsOf("a"))
 			assert.Assert(t, isUnanswered(first), "the append may have been carried out, but counts as %v", first)
+			if failure == AppendInvalid { // the repeat must be refused too, after the first call has ended
+				assert.Assert(t, w.appendTo(within(time.Second), 0, recordsOf("b")) != nil)
+			}
 			log.restored.Store(true)
 			assert.NilError(t, w.appendTo(within(2*time.Second), 0, recordsOf("b")))
 			assert.Assert(t, log.partition(topicJobs, 0).newest["b"] != nil, "the log answered the append of b as it answered that of a")
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -364,27 +364,32 @@
 	return w.appendLocked(ctx, lane, records)
 }
 
+// voidRecord uses up a sequence number. It drops a key that no record has.
+var voidRecord = cell.Record{Key: "void"}
+
 // appendLocked is like appendTo for a caller that holds the mutex of the lane's stream.
 func (w *recordWriter) appendLocked(ctx context.Context, lane int, records []cell.Record) error {
 	s := &w.streams[lane]
-	if s.unanswered != nil {
+	for s.unanswered != nil {
 		repeat := sameRecords(s.unanswered, records)
 		err := w.appendSentAt(ctx, lane, s.unanswered, s.nextSequence, s.sentAt)
 		s.logResult(w.logger, lane, s.unanswered, err)
 		switch {
-		case isInvalid(err):
-			s.unanswered = nil // no call of it was carried out
-			if repeat {
-				return err
-			}
-		case err != nil:
-			return err
-		default:
+		case err == nil:
 			w.indexStored(lane, s.unanswered)
 			s.nextSequence, s.unanswered = s.nextSequence+1, nil
 			if repeat {
 				return nil
 			}
+		case isInvalid(err) && s.unanswered[0].Key != voidRecord.Key:
+			// A call without a response may have been carried out all the same, and the log would
+			// take other records under its number for a repeat of it.
+			s.unanswered = []cell.Record{voidRecord}
+			if repeat {
+				return err
+			}
+		default:
+			return asUnanswered(err)
 		}
 	}
 	if len(records) == 0 {
