Follow the log's sequence number in the repeat of an unanswered append

Cause: only a first append took over the sequence number that the log expects. A repeat that was answered with the next number was sent again unchanged, so its lane stayed blocked until the term ended. The log answers a repeat with its first response only while it is one of the last five appends.

Change: both paths continue with the expected number. The records are stored once more at worst, which their versions make harmless.

Before the change TestRepeatFollowsSequenceOfTheLog fails (no later append in 20 s). No play is known in which a sound log answers so, as nothing else is sent in the lane meanwhile.

--- a/internal/entry/resend_test.go
+++ b/internal/entry/resend_test.go
@@ -112,3 +112,29 @@
 		return err == nil
 	})
 }
+
+// forgetfulLog does not know repeats: it expects the next number once an append is carried out.
+type forgetfulLog struct{ *interruptedLog }
+
+func (l forgetfulLog) Append(ctx context.Context, a Append) (int64, error) {
+	l.mu.Lock()
+	carriedOut := len(a.Records) > 0 && a.Writer.Sequence <= l.partition(a.Topic, a.Partition).sequence
+	expected := l.partition(a.Topic, a.Partition).sequence + 1
+	l.mu.Unlock()
+	if carriedOut {
+		return 0, &AppendError{Failure: AppendOutOfOrder, Expected: expected}
+	}
+	return l.interruptedLog.Append(ctx, a)
+}
+
+// Guards against an unanswered append that is sent again for ever, and blocks its lane, because the log
+// answers the repeat with the next sequence number.
+func TestRepeatFollowsSequenceOfTheLog(t *testing.T) {
+	log := forgetfulLog{newInterruptedLog(topicJobs, AppendRefused)}
+	log.restored.Store(true)
+	w, _ := newStoringWriter(log)
+	assert.Assert(t, isUnanswered(w.appendTo(within(200*time.Millisecond), 0, recordsOf("a"))))
+	eventually(t, "the next append", func() bool { return w.appendTo(within(time.Second), 0, recordsOf("b")) == nil })
+	assert.Assert(t, log.partition(topicJobs, 0).newest["a"] != nil)
+	assert.Assert(t, log.partition(topicJobs, 0).newest["b"] != nil)
+}
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -389,6 +389,7 @@
 				return err
 			}
 		default:
+			w.followSequence(lane, err)
 			return asUnanswered(err)
 		}
 	}
@@ -398,22 +399,29 @@
 	sent := clock.SinceBoot()
 	err := w.append(ctx, lane, records, s.nextSequence)
 	s.logResult(w.logger, lane, records, err)
-	expected, outOfOrder := expectedSequence(err)
 	switch {
 	case err == nil:
 		s.nextSequence++
 		w.indexStored(lane, records)
-	case outOfOrder:
-		// Records carry versions, so it does no harm to store one twice.
-		w.logger.Warn("append_out_of_order", zap.Int("cell", w.cell), zap.Int("lane", lane), zap.Int64("sent", s.nextSequence), zap.Int64("expected", expected))
-		s.nextSequence = expected
 	case isUnanswered(err):
 		s.unanswered, s.sentAt = records, sent
 		w.indexUnanswered(lane, records)
+	default:
+		w.followSequence(lane, err)
 	}
 	return err
 }
 
+// followSequence continues with the sequence number that the log expects, if an append failed
+// because it had another one. Records carry versions, so it does no harm to store one twice.
+func (w *recordWriter) followSequence(lane int, err error) {
+	s := &w.streams[lane]
+	if expected, outOfOrder := expectedSequence(err); outOfOrder {
+		w.logger.Warn("append_out_of_order", zap.Int("cell", w.cell), zap.Int("lane", lane), zap.Int64("sent", s.nextSequence), zap.Int64("expected", expected))
+		s.nextSequence = expected
+	}
+}
+
 // sameRecords reports whether two lists have the same keys and values.
 func sameRecords(a, b []cell.Record) bool {
 	return slices.EqualFunc(a, b, func(x, y cell.Record) bool { return x.Key == y.Key && bytes.Equal(x.Value, y.Value) })
