Count VMs with an unanswered maintenance order as down

Cause: an order for the maintenance of a VM that had no response counted as refused. The order may be carried out seconds later; other VMs were ordered meanwhile, and more VMs were down than the wave allows. A later refusal of the same order does not tell what became of the first, and a new holder did not know of it at all.

Change: an order without a response, or with a status that does not say that nothing was done, keeps its VM counted as down until a later order for it is answered. A VM is stored as ordered before its first order, so the next holder counts it too; such VMs are drained and ordered first. One more append for each VM of a wave.

TestMaintenanceNeedsAuthority builds its wave by the new constructor and checks the same.

--- a/internal/entry/maintenance.go
+++ b/internal/entry/maintenance.go
@@ -44,11 +44,12 @@
 
 // Outcomes of a maintenance order.
 const (
-	MaintenanceBegun     MaintenanceOutcome = iota // or already completed
-	MaintenanceBusy                                // the VM is not up, or is leaving
-	MaintenanceNotInWave                           // the VM does not exist or is not part of the wave
-	MaintenanceFenced                              // a newer holder has sent orders
-	MaintenanceFailed                              // refused for now, or not answered
+	MaintenanceBegun      MaintenanceOutcome = iota // or already completed
+	MaintenanceBusy                                 // the VM is not up, or is leaving
+	MaintenanceNotInWave                            // the VM does not exist or is not part of the wave
+	MaintenanceFenced                               // a newer holder has sent orders
+	MaintenanceRefused                              // refused for now
+	MaintenanceUnanswered                           // the order may be carried out now or later
 )
 
 // Maintenance is the platform's service for the maintenance of VMs.
@@ -82,6 +83,9 @@
 	// VMsDone are the VMs whose maintenance the current cell has begun. A new holder
 	// must not drain them again, which would stop the tasks that run there since.
 	VMsDone []string `cbor:"2,keyasint,omitempty"`
+	// VMsOrdered are VMs to which the current cell has sent an order. One that is not done may
+	// go down at any time, also under a new holder.
+	VMsOrdered []string `cbor:"3,keyasint,omitempty"`
 }
 
 // waveRun is the state of a wave at one holder.
@@ -89,8 +93,34 @@
 	Wave
 	startedAt time.Time
 	done      map[string]bool
+	ordered   map[string]bool      // VMs that progress lists as ordered
+	pending   map[string]bool      // VMs that may go down at any time, by an order without a response
 	draining  map[string]time.Time // by VM, when draining began
 	reported  bool
+	restored  bool // the progress of earlier holders has been read
+}
+
+func newWaveRun(w Wave) *waveRun {
+	return &waveRun{Wave: w, startedAt: time.Now(), done: map[string]bool{}, ordered: map[string]bool{}, pending: map[string]bool{}, draining: map[string]time.Time{}}
+}
+
+// restore takes over the stored progress.
+func (w *waveRun) restore(p waveProgress) {
+	for _, vm := range p.VMsDone {
+		w.done[vm] = true
+	}
+	if w.restored {
+		return // the holder knows which of its own orders were answered
+	}
+	w.restored = true
+	for _, vm := range p.VMsOrdered {
+		w.ordered[vm], w.pending[vm] = true, !w.done[vm]
+	}
+}
+
+// progress returns the progress of a cell.
+func (w *waveRun) progress(cellIndex int) waveProgress {
+	return waveProgress{CellsDone: cellIndex, VMsDone: slices.Sorted(maps.Keys(w.done)), VMsOrdered: slices.Sorted(maps.Keys(w.ordered))}
 }
 
 // runWaves carries out the cell's part of all waves until the term ends.
@@ -107,7 +137,7 @@
 				continue
 			}
 			if runs[w.Number] == nil {
-				runs[w.Number] = &waveRun{Wave: w, startedAt: time.Now(), done: map[string]bool{}, draining: map[string]time.Time{}}
+				runs[w.Number] = newWaveRun(w)
 			}
 			done, err := h.stepWave(runs[w.Number])
 			if err != nil {
@@ -129,9 +159,7 @@
 	if progress.CellsDone < h.agent.cell {
 		return false, nil // it is another cell's turn
 	}
-	for _, vm := range progress.VMsDone {
-		run.done[vm] = true
-	}
+	run.restore(progress)
 	if h.agent.cell == 0 && !run.reported {
 		if err := h.node.platform.Maintenance.Report(ctx, run.Number, false); err != nil {
 			return false, err
@@ -188,12 +216,17 @@
 	case p.CellsDone < o.CellsDone:
 		return o
 	}
-	vms := slices.Concat(p.VMsDone, o.VMsDone)
-	slices.Sort(vms)
-	p.VMsDone = slices.Compact(vms)
+	p.VMsDone, p.VMsOrdered = union(p.VMsDone, o.VMsDone), union(p.VMsOrdered, o.VMsOrdered)
 	return p
 }
 
+// union returns the elements of both lists in ascending order.
+func union(a, b []string) []string {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 func (h *holder) readProgress(ctx context.Context, wave int64) (waveProgress, error) {
 	p, _, err := h.readProgressAndEnd(ctx, wave)
 	return p, err
@@ -217,13 +250,13 @@
 // the wave. It returns the number of VMs of the cell whose maintenance is not
 // completed.
 func (h *holder) maintainVMs(ctx context.Context, run *waveRun, vms []VM) (left int) {
-	down := 0
+	down := 0 // VMs that are down or may go down at any time
 	var inCell []VM
 	for _, vm := range vms {
 		if !slices.Contains(run.VMs, vm.ID) {
 			continue
 		}
-		if vm.State == VMInMaintenance {
+		if vm.State == VMInMaintenance || run.pending[vm.ID] {
 			down++
 		}
 		if cellOf(vm.Rack, len(h.node.agents())) != h.agent.cell {
@@ -236,26 +269,41 @@
 			inCell = append(inCell, vm)
 		}
 	}
+	// Those that count as down already come first: no other one may go down before them.
+	slices.SortStableFunc(inCell, func(a, b VM) int { return compareTrueFirst(run.pending[a.ID], run.pending[b.ID]) })
 	for _, vm := range inCell {
 		// Draining starts while other VMs are still down, so that the next ones
 		// can be taken down as soon as those are back.
-		if len(run.draining) >= run.MaxDown && run.draining[vm.ID].IsZero() {
+		pending := run.pending[vm.ID]
+		if len(run.draining) >= run.MaxDown && run.draining[vm.ID].IsZero() && !pending {
 			continue
 		}
 		if run.draining[vm.ID].IsZero() {
 			run.draining[vm.ID] = time.Now()
 			h.logger.Info("machine_draining", zap.Int64("wave", run.Number), zap.String("machine", vm.ID), zap.String("worker", vm.Worker))
 		}
-		if !h.drain(vm.Worker, time.Since(run.draining[vm.ID]) > run.drainLimit(left)) || down >= run.MaxDown {
+		if !h.drain(vm.Worker, time.Since(run.draining[vm.ID]) > run.drainLimit(left)) || down >= run.MaxDown && !pending {
 			continue
 		}
-		if h.takeDown(ctx, run, vm) {
+		if h.takeDown(ctx, run, vm) && !pending {
 			down++
 		}
 	}
 	return left
 }
 
+// compareTrueFirst orders true before false.
+func compareTrueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // drainLimit returns how long the tasks of a VM may take to end if the wave is to
 // be completed in time.
 func (w *waveRun) drainLimit(left int) time.Duration {
@@ -285,26 +333,39 @@
 	return h.hasAuthority() && (h.claim.Term <= 1 || time.Since(h.startedAt) >= authorityPeriod)
 }
 
-// takeDown orders the maintenance of a VM and reports whether the VM is now down.
+// takeDown orders the maintenance of a VM and reports whether the VM is now down, or may go
+// down at any time. Before the first order, the VM is stored as ordered.
 func (h *holder) takeDown(ctx context.Context, run *waveRun, vm VM) bool {
 	if !h.mayOrderMaintenance() {
 		return false
 	}
+	if !run.ordered[vm.ID] {
+		run.ordered[vm.ID] = true
+		if err := h.writeProgress(ctx, run.Number, run.progress(h.agent.cell)); err != nil {
+			delete(run.ordered, vm.ID)
+			h.logger.Warn("wave_progress_not_stored", zap.Int64("wave", run.Number), zap.String("machine", vm.ID), zap.Error(err))
+			return false
+		}
+	}
 	outcome := h.node.platform.Maintenance.Begin(ctx, vm.ID, run.Number, h.node.cfg.Name, h.claim.Token)
 	h.logger.Info("machine_upkeep", zap.Int64("wave", run.Number), zap.String("machine", vm.ID), zap.Int("outcome", int(outcome)))
 	switch outcome {
 	case MaintenanceBegun, MaintenanceNotInWave:
 		run.done[vm.ID] = true
+		delete(run.pending, vm.ID)
 		delete(run.draining, vm.ID)
-		if err := h.writeProgress(ctx, run.Number, waveProgress{CellsDone: h.agent.cell, VMsDone: slices.Sorted(maps.Keys(run.done))}); err != nil {
+		if err := h.writeProgress(ctx, run.Number, run.progress(h.agent.cell)); err != nil {
 			h.logger.Warn("wave_progress_not_stored", zap.Int64("wave", run.Number), zap.String("machine", vm.ID), zap.Error(err))
 		}
 		h.post(func(s *cell.Scheduler) { s.Undrain(vm.Worker) })
 		return outcome == MaintenanceBegun
+	case MaintenanceUnanswered:
+		run.pending[vm.ID] = true
 	case MaintenanceFenced:
 		h.endTerm("upkeep_fenced")
 	}
-	return false
+	// A refusal is about this order only. An earlier one without a response may be carried out.
+	return run.pending[vm.ID]
 }
 
 func waveKey(wave int64) string { return "wave-" + strconv.FormatInt(wave, 10) }
--- a/internal/entry/maintenance_test.go
+++ b/internal/entry/maintenance_test.go
@@ -38,7 +38,7 @@
 }
 
 // startMaintainedNode starts a process that carries out the waves of m.
-func startMaintainedNode(t *testing.T, name string, log *fakeLog, fleet *fakeFleet, m *fakeMaintenance) *Node {
+func startMaintainedNode(t *testing.T, name string, log *fakeLog, fleet *fakeFleet, m Maintenance) *Node {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -159,7 +159,7 @@
 			h := newHolder(newAgent(n, 0), claim{Term: test.term, Token: 5}, authorityPeriod)
 			h.confirmedAt -= test.confirmed
 			h.startedAt = h.startedAt.Add(-test.started)
-			run := &waveRun{Wave: m.wave, done: map[string]bool{}, draining: map[string]time.Time{}}
+			run := newWaveRun(m.wave)
 			assert.Equal(t, h.takeDown(t.Context(), run, VM{ID: "m0", Worker: "w0"}), test.want)
 			assert.Equal(t, m.ordered() == 1, test.want)
 		})
