Report a roll as unknown if only its repeat was refused

Cause: fulmarlatchctl repeats the append of a roll that had no response, and reported the roll as refused if the log then refused the repeat. The first append may be carried out later, and the roll takes effect although the operator was told that it has none.

Change: after an append without a response, a refusal gives the error that it is not known whether the roll is in the log.

Before the change TestRefusedRepeatOfRoll fails: exit code 2 in place of 4.

--- a/cmd/fulmarlatchctl/ctl_test.go
+++ b/cmd/fulmarlatchctl/ctl_test.go
@@ -29,6 +29,7 @@
 	down    bool   // every request fails
 	lost    int    // this many appends take effect but return an error
 	dropped int    // this many appends have no effect and return an error
+	refuses bool   // once dropped is 0, appends are refused as invalid
 	before  func() // runs once before the next append takes effect
 }
 
@@ -53,6 +54,9 @@
 		l.dropped--
 		return 0, fault.New(fault.LogDown, "down", "wait")
 	}
+	if l.refuses {
+		return 0, fault.New(fault.Invalid, "refused", "send other records")
+	}
 	l.records = append(l.records, records...)
 	if l.lost > 0 {
 		l.lost--
@@ -170,6 +174,16 @@
 	h.want(exitUnavailable, "down")(h.roll(5, "isla", "--timeout", "50ms"))
 }
 
+// TestRefusedRepeatOfRoll guards against telling the operator that a roll has no effect because
+// its repeat was refused, while the first append, which had no response, may be carried out.
+func TestRefusedRepeatOfRoll(t *testing.T) {
+	h := newHarness(t)
+	h.log.refuses = true
+	h.want(exitWrongInput, "refused")(h.roll(1, "isla"))
+	h.log.dropped = 1
+	h.want(exitUnavailable, "it is not known")(h.roll(1, "isla"))
+}
+
 // TestRollTruncated guards against rolling, without --replaces, on a log that has
 // dropped the records of the roll in force.
 func TestRollTruncated(t *testing.T) {
--- a/cmd/fulmarlatchctl/history.go
+++ b/cmd/fulmarlatchctl/history.go
@@ -142,11 +142,15 @@
 
 // roll appends a signed roll and repeats the append until the log shows whether
 // the roll took effect. After an append without a response it reads the log back
-// first. A repeated append is harmless because the chain ignores duplicates.
+// first. A repeated append is harmless because the chain ignores duplicates. A refusal
+// is about its own append only: an earlier one without a response may still be carried out.
 func (h *history) roll(ctx context.Context, s bundle.Signed) error {
-	for {
+	for unanswered := false; ; unanswered = true {
 		first, appendErr := h.log.Append(ctx, s.Records)
-		if appendErr != nil && fault.KindOf(appendErr) == fault.Invalid {
+		if fault.KindOf(appendErr) == fault.Invalid {
+			if unanswered {
+				return outcomeUnknown(s, appendErr)
+			}
 			return appendErr
 		}
 		last := first + uint64(len(s.Records)) - 1
