Add a package for the keys of callers

A deployment of the platform will map the key of a request to a workspace; the callers' interface of the product maps a workspace to the hash of its token.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
+	"github.com/fulmarlatch/fulmarlatch/internal/credential"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 	"github.com/fulmarlatch/fulmarlatch/internal/message"
 	"github.com/gofiber/fiber/v3"
@@ -246,9 +247,8 @@
 	}
 	// The job service decides about a missing token, because a workspace without a
 	// token hash needs none.
-	header := c.Get(fiber.HeaderAuthorization)
-	token, ok := strings.CutPrefix(header, "Bearer ")
-	if !ok && header != "" {
+	token, ok := credential.ParseBearer(c.Get(fiber.HeaderAuthorization))
+	if !ok {
 		return fault.New(fault.Unauthorized, "the header Authorization has no bearer token", "send the header Authorization: Bearer with the workspace's token")
 	}
 	return s.cfg.JobService.Authorize(strings.Clone(token), strings.Clone(workspace))
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"fmt"
 	"time"
 
 	"github.com/fulmarlatch/fulmarlatch/internal/api"
 	"github.com/fulmarlatch/fulmarlatch/internal/bundle"
 	"github.com/fulmarlatch/fulmarlatch/internal/core"
+	"github.com/fulmarlatch/fulmarlatch/internal/credential"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 	"github.com/fulmarlatch/fulmarlatch/internal/message"
 )
@@ -93,8 +91,7 @@
 	if token == "" {
 		return fault.New(fault.Unauthorized, "the bearer token is missing", "send the header Authorization: Bearer with the workspace's token")
 	}
-	sum := sha256.Sum256([]byte(token))
-	if subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(want)) != 1 {
+	if digest, err := credential.ParseDigest(want); err != nil || !digest.Equal(credential.DigestOf(token)) {
 		return fault.New(fault.Unauthorized, fmt.Sprintf("the token does not belong to workspace %q", workspace), "send the workspace's token as bearer token")
 	}
 	return nil
