Require the key of a workspace from callers

Cause: keys were not known to the program at all.

Ruled out: checking keys at the holder (each process knows the configuration, and a refusal would cost a message), and keeping the record as read for copies to other processes (it holds the keys).

--- a/cmd/fulmarlatch-entry/main.go
+++ b/cmd/fulmarlatch-entry/main.go
@@ -115,7 +115,7 @@
 		return err
 	}
 	metadataLog := platform.NewLog(s.Node.Log.Address)
-	config := platform.NewConfiguration(metadataLog, s.Node.Bounds, log)
+	config := platform.NewConfiguration(metadataLog, s.Node.Bounds, s.Node.NeedsKeys(), log)
 	metricRegistry := metrics.NewRegistry()
 	services := entry.Platform{
 		Log:        metadataLog,
--- a/internal/cell/workspaces.go
+++ b/internal/cell/workspaces.go
@@ -10,6 +10,14 @@
 	Limit Resources
 }
 
+// Caller is who asks about a job.
+type Caller struct {
+	// Workspace is the caller's workspace; empty if the caller needed no key.
+	Workspace string `cbor:"1,keyasint,omitempty"`
+	// Checked is set if the deployment has workspaces.
+	Checked bool `cbor:"2,keyasint,omitempty"`
+}
+
 // SetWorkspaces replaces the workspaces in force; nil means that the deployment has none.
 func (s *Scheduler) SetWorkspaces(list []Workspace) {
 	s.workspaces = make(map[string]*Workspace, len(list))
--- a/internal/credential/credential.go
+++ b/internal/credential/credential.go
@@ -77,8 +77,13 @@
 	return workspace
 }
 
-// Len returns the number of keys.
-func (k *Keyring) Len() int { return k.size }
+// Len returns the number of keys; 0 for nil.
+func (k *Keyring) Len() int {
+	if k == nil {
+		return 0
+	}
+	return k.size
+}
 
 // Workspace returns the workspace to which a key belongs, and whether there is one.
 func (k *Keyring) Workspace(key string) (workspace string, known bool) { return k.find(DigestOf(key)) }
--- a/internal/entry/announce_test.go
+++ b/internal/entry/announce_test.go
@@ -70,7 +70,7 @@
 	time.Sleep(500 * time.Millisecond)
 	fleet.endAll(cell.EndDone)
 	eventually(t, "the completed job", func() bool {
-		state, err := n.Status(within(time.Second), job.ID)
+		state, err := n.Status(within(time.Second), job.ID, cell.Caller{})
 		return err == nil && state == cell.Completed
 	})
 	assert.Equal(t, fleet.started(), 1)
--- a/internal/entry/cancel_test.go
+++ b/internal/entry/cancel_test.go
@@ -22,7 +22,7 @@
 	job := testJob(1)
 	log.setDown(true, false)
 	cancelled, submitted := make(chan error, 1), make(chan error, 1)
-	go func() { cancelled <- n.Cancel(within(8*time.Second), job.ID) }()
+	go func() { cancelled <- n.Cancel(within(8*time.Second), job.ID, cell.Caller{}) }()
 	eventually(t, "an append of the cancelling", func() bool { return h.writer.silentFor() > 0 })
 	go func() { submitted <- n.Submit(within(8*time.Second), job) }()
 	eventually(t, "a silent log", h.isLogSilent)
@@ -32,16 +32,16 @@
 	t.Log("cancel:", <-cancelled)
 	err := <-submitted
 	t.Log("submit:", err)
-	assert.NilError(t, n.Cancel(within(3*time.Second), job.ID))
+	assert.NilError(t, n.Cancel(within(3*time.Second), job.ID, cell.Caller{}))
 	eventually(t, "an idle writer", h.writer.idle)
-	state, statusErr := n.Status(within(3*time.Second), job.ID)
+	state, statusErr := n.Status(within(3*time.Second), job.ID, cell.Caller{})
 	t.Log("state before the takeover:", state, statusErr)
 
 	n.stop()
 	next := startNode(t, "b", log, fleet)
 	eventually(t, "a takeover", next.holds)
 	if err == nil {
-		state, err := next.Status(within(3*time.Second), job.ID)
+		state, err := next.Status(within(3*time.Second), job.ID, cell.Caller{})
 		assert.NilError(t, err, "the job was answered with success")
 		assert.Equal(t, state, cell.Cancelled)
 	}
@@ -57,21 +57,21 @@
 	eventually(t, "a start", func() bool { return fleet.started() == 1 })
 	fleet.endAll(cell.EndDone)
 	eventually(t, "an end", func() bool {
-		s, err := n.Status(within(3*time.Second), testJob(9).ID)
+		s, err := n.Status(within(3*time.Second), testJob(9).ID, cell.Caller{})
 		return err == nil && s == cell.Completed
 	})
 	eventually(t, "an idle writer", h.writer.idle)
 
 	job := testJob(1)
 	log.setDown(true, false)
-	go func() { _ = n.Cancel(within(8*time.Second), job.ID) }()
+	go func() { _ = n.Cancel(within(8*time.Second), job.ID, cell.Caller{}) }()
 	eventually(t, "an append of the cancelling", func() bool { return h.writer.silentFor() > 0 })
 	go func() { _ = n.Submit(within(8*time.Second), job) }()
 	eventually(t, "a silent log", h.isLogSilent)
 	time.Sleep(300 * time.Millisecond)
 	log.setDown(false, false)
 	eventually(t, "an idle writer", h.writer.idle)
-	assert.NilError(t, n.Cancel(within(3*time.Second), job.ID))
+	assert.NilError(t, n.Cancel(within(3*time.Second), job.ID, cell.Caller{}))
 }
 
 // Guards against a denial of an unknown job's cancelling that only rests on a renewal of the claim.
@@ -84,6 +84,6 @@
 	for lane := range laneCount {
 		log.setOutage(laneTopic(lane), partitionOf(0, laneOffsets[lane], h.node.cfg.Partitions), refuses)
 	}
-	err := n.Cancel(within(1500*time.Millisecond), testJob(1).ID)
+	err := n.Cancel(within(1500*time.Millisecond), testJob(1).ID, cell.Caller{})
 	assert.Equal(t, fault.KindOf(err), fault.OutcomeLost, "%v", err)
 }
--- a/internal/entry/contain_test.go
+++ b/internal/entry/contain_test.go
@@ -22,7 +22,7 @@
 	assert.NilError(t, holder.Submit(within(3*time.Second), testJob(2)))
 	fleet.endAll(cell.EndDone)
 	eventually(t, "the job of before", func() bool {
-		state, err := holder.Status(within(time.Second), before.ID)
+		state, err := holder.Status(within(time.Second), before.ID, cell.Caller{})
 		return err == nil && state == cell.Completed
 	})
 }
--- a/internal/entry/discard_test.go
+++ b/internal/entry/discard_test.go
@@ -99,6 +99,6 @@
 	var e *fault.Error
 	assert.Assert(t, errors.As(err, &e) && e.Kind == fault.Invalid, "%v", err)
 	eventually(t, "the start of the other job", func() bool { return fleet.started() == 1 })
-	_, err = holder.Status(within(time.Second), large.ID)
+	_, err = holder.Status(within(time.Second), large.ID, cell.Caller{})
 	assert.Assert(t, errors.As(err, &e) && e.Kind == fault.NotFound, "%v", err)
 }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -42,7 +42,7 @@
 	eventually(t, "a start", func() bool { return fleet.started() == 1 })
 	fleet.endAll(cell.EndDone)
 	eventually(t, "the completed job", func() bool {
-		state, err := follower.Status(within(time.Second), job.ID)
+		state, err := follower.Status(within(time.Second), job.ID, cell.Caller{})
 		return err == nil && state == cell.Completed
 	})
 }
@@ -84,7 +84,7 @@
 	assert.Equal(t, fault.KindOf(<-inDoubt), fault.OutcomeLost)
 	log.setDown(false, false)
 	eventually(t, "the start of the job with unknown outcome", func() bool { return fleet.started() == 1 })
-	_, err := holder.Status(within(time.Second), testJob(2).ID)
+	_, err := holder.Status(within(time.Second), testJob(2).ID, cell.Caller{})
 	assert.Equal(t, fault.KindOf(err), fault.NotFound)
 }
 
@@ -100,7 +100,7 @@
 	eventually(t, "a takeover", follower.holds)
 	fleet.endAll(cell.EndDone)
 	eventually(t, "the completed job", func() bool {
-		state, err := follower.Status(within(time.Second), job.ID)
+		state, err := follower.Status(within(time.Second), job.ID, cell.Caller{})
 		return err == nil && state == cell.Completed
 	})
 	assert.Equal(t, fleet.started(), 1)
--- a/internal/entry/former_life_test.go
+++ b/internal/entry/former_life_test.go
@@ -106,7 +106,7 @@
 	eventually(t, "a holder", n.holds)
 	submitLong(t, n)
 	eventually(t, "a start", func() bool { return fleet.started() == 1 })
-	err := n.Cancel(within(3*time.Second), testJob(1).ID)
+	err := n.Cancel(within(3*time.Second), testJob(1).ID, cell.Caller{})
 	assert.NilError(t, err)
 	eventually(t, "an acknowledgement of the end", func() bool { return fleet.discarded("w0") == 1 })
 	fleet.restart("w0")
--- a/internal/entry/gang_test.go
+++ b/internal/entry/gang_test.go
@@ -44,7 +44,7 @@
 	assert.Assert(t, time.Since(began) < gangTimeout, "the member on w0 has waited for %v", time.Since(began))
 	fleet.endAll(cell.EndDone)
 	eventually(t, "the completed job", func() bool {
-		state, err := n.Status(within(time.Second), job.ID)
+		state, err := n.Status(within(time.Second), job.ID, cell.Caller{})
 		return err == nil && state == cell.Completed
 	})
 }
--- a/internal/entry/ingress.go
+++ b/internal/entry/ingress.go
@@ -25,8 +25,8 @@
 )
 
 // Submit submits a job. Errors are *fault.Error: Invalid, NotReady, LogDown and
-// NoCapacity mean that the job was not accepted and never runs, OutcomeLost that it may
-// have been accepted and the caller should submit it again.
+// NoCapacity mean that the job was not accepted and never runs, OutcomeLost that it may have been accepted and the caller should
+// submit it again.
 func (n *Node) Submit(ctx context.Context, job *cell.Job) error {
 	if err := job.Check(); err != nil {
 		return err
@@ -40,32 +40,32 @@
 	return err
 }
 
-// Status returns the state of a job. Errors are *fault.Error; NotFound means that the
+// Status returns the state of a job to a caller. Errors are *fault.Error; NotFound means that the
 // job does not exist.
-func (n *Node) Status(ctx context.Context, id string) (cell.State, error) {
+func (n *Node) Status(ctx context.Context, id string, by cell.Caller) (cell.State, error) {
 	defer recordSince(n.meters.status, time.Now())
 	n.requests.Add(1)
 	defer n.requests.Add(-1)
 	var reply statusReply
-	by, err := n.callHolder(ctx, id,
-		func(h *holder) (err error) { reply.State, err = h.status(ctx, id); return err },
-		func(l *link.Link) error { return l.Call(ctx, kindStatus, jobRequest{ID: id}, &reply) })
+	from, err := n.callHolder(ctx, id,
+		func(h *holder) (err error) { reply.State, err = h.status(ctx, id, by); return err },
+		func(l *link.Link) error { return l.Call(ctx, kindStatus, jobRequest{id, by}, &reply) })
 	if fault.KindOf(err) == fault.NotFound {
-		n.logAnswer("status_denied", id, by, err)
+		n.logAnswer("status_denied", id, from, err)
 	}
 	return reply.State, err
 }
 
-// Cancel cancels a job. Errors are *fault.Error; NotFound means that the job does not
+// Cancel cancels a job of a caller. Errors are *fault.Error; NotFound means that the job does not
 // exist.
-func (n *Node) Cancel(ctx context.Context, id string) error {
+func (n *Node) Cancel(ctx context.Context, id string, by cell.Caller) error {
 	n.requests.Add(1)
 	defer n.requests.Add(-1)
-	by, err := n.callHolder(ctx, id,
-		func(h *holder) error { return h.cancelJob(ctx, id) },
-		func(l *link.Link) error { return l.Call(ctx, kindCancel, jobRequest{ID: id}, nil) })
+	from, err := n.callHolder(ctx, id,
+		func(h *holder) error { return h.cancelJob(ctx, id, by) },
+		func(l *link.Link) error { return l.Call(ctx, kindCancel, jobRequest{id, by}, nil) })
 	if err == nil || fault.KindOf(err) == fault.NotFound {
-		n.logAnswer("cancel_answered", id, by, err)
+		n.logAnswer("cancel_answered", id, from, err)
 	}
 	return err
 }
--- a/internal/entry/lanes_test.go
+++ b/internal/entry/lanes_test.go
@@ -34,7 +34,7 @@
 			fleet.endAll(cell.EndDone)
 			completed := func(n *testNode, job *cell.Job) func() bool {
 				return func() bool {
-					state, err := n.Status(within(time.Second), job.ID)
+					state, err := n.Status(within(time.Second), job.ID, cell.Caller{})
 					return err == nil && state == cell.Completed
 				}
 			}
@@ -263,7 +263,7 @@
 	fleet.endAll(cell.EndDone)
 	h, _, _ := holder.agents()[0].route()
 	eventually(t, "a quiet log", func() bool {
-		state, err := holder.Status(within(time.Second), job.ID)
+		state, err := holder.Status(within(time.Second), job.ID, cell.Caller{})
 		return err == nil && state == cell.Completed && h.writer.idle()
 	})
 }
--- a/internal/entry/message.go
+++ b/internal/entry/message.go
@@ -23,7 +23,8 @@
 }
 
 type jobRequest struct {
-	ID string `cbor:"1,keyasint"`
+	ID     string      `cbor:"1,keyasint"`
+	Caller cell.Caller `cbor:"2,keyasint"`
 }
 
 type statusReply struct {
--- a/internal/entry/proof_test.go
+++ b/internal/entry/proof_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fulmarlatch/fulmarlatch/internal/cell"
 	"github.com/fulmarlatch/fulmarlatch/internal/clock"
 	"github.com/fulmarlatch/fulmarlatch/internal/fault"
 )
@@ -22,9 +23,9 @@
 	assert.Assert(t, former.holds(), "the former holder knows that it is superseded")
 
 	const timeout = 300 * time.Millisecond
-	_, err := former.Status(within(timeout), job.ID)
+	_, err := former.Status(within(timeout), job.ID, cell.Caller{})
 	assert.Equal(t, fault.KindOf(err), fault.OutcomeLost, "%v", err)
-	assert.Equal(t, fault.KindOf(former.Cancel(within(timeout), job.ID)), fault.OutcomeLost)
+	assert.Equal(t, fault.KindOf(former.Cancel(within(timeout), job.ID, cell.Caller{})), fault.OutcomeLost)
 	_, err = former.Pending(within(timeout), job.Queue.Name)
 	assert.Equal(t, fault.KindOf(err), fault.OutcomeLost, "%v", err)
 	large := testJob(2)
@@ -33,7 +34,7 @@
 
 	// Once it reaches the log again, the next holder answers.
 	cancelled := make(chan error, 1)
-	go func() { cancelled <- former.Cancel(within(5*time.Second), job.ID) }()
+	go func() { cancelled <- former.Cancel(within(5*time.Second), job.ID, cell.Caller{}) }()
 	former.log.disconnected.Store(false)
 	assert.NilError(t, <-cancelled)
 }
@@ -43,7 +44,7 @@
 	n := startNode(t, "a", newFakeLog(), newFakeFleet(1))
 	eventually(t, "a holder", n.holds)
 	start := time.Now()
-	_, err := n.Status(within(3*time.Second), testJob(1).ID)
+	_, err := n.Status(within(3*time.Second), testJob(1).ID, cell.Caller{})
 	assert.Equal(t, fault.KindOf(err), fault.NotFound)
 	assert.Assert(t, time.Since(start) < 4*renewInterval, "answered after %v", time.Since(start))
 
--- a/internal/entry/resend_test.go
+++ b/internal/entry/resend_test.go
@@ -108,7 +108,7 @@
 	holder.stop()
 	eventually(t, "a takeover", follower.holds)
 	eventually(t, "the state of the accepted job", func() bool {
-		_, err := follower.Status(within(time.Second), second.ID)
+		_, err := follower.Status(within(time.Second), second.ID, cell.Caller{})
 		return err == nil
 	})
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -23,12 +23,12 @@
 	case kindStatus:
 		var in jobRequest
 		if decode(r, &in) {
-			h.postStatus(in.ID, func(state cell.State, err error) { r.Reply(statusReply{State: state}, err) })
+			h.postStatus(in.ID, in.Caller, func(state cell.State, err error) { r.Reply(statusReply{State: state}, err) })
 		}
 	case kindCancel:
 		var in jobRequest
 		if decode(r, &in) {
-			h.postCancel(in.ID, func(err error) { r.Reply(nil, err) })
+			h.postCancel(in.ID, in.Caller, func(err error) { r.Reply(nil, err) })
 		}
 	case kindPending:
 		var in pendingRequest
@@ -101,7 +101,7 @@
 	return e
 }
 
-func (h *holder) postStatus(id string, reply func(cell.State, error)) {
+func (h *holder) postStatus(id string, by cell.Caller, reply func(cell.State, error)) {
 	if err := h.checkServing(); err != nil {
 		reply("", err)
 		return
@@ -120,7 +120,7 @@
 	return fault.New(fault.NotFound, "there is no job "+id, "check the ID; ended jobs are kept for a limited time")
 }
 
-func (h *holder) postCancel(id string, reply func(error)) {
+func (h *holder) postCancel(id string, by cell.Caller, reply func(error)) {
 	if err := h.checkServing(); err != nil {
 		reply(err)
 		return
@@ -176,13 +176,13 @@
 	return err
 }
 
-func (h *holder) status(ctx context.Context, id string) (cell.State, error) {
-	return await(ctx, h, func(reply func(cell.State, error)) { h.postStatus(id, reply) })
+func (h *holder) status(ctx context.Context, id string, by cell.Caller) (cell.State, error) {
+	return await(ctx, h, func(reply func(cell.State, error)) { h.postStatus(id, by, reply) })
 }
 
-func (h *holder) cancelJob(ctx context.Context, id string) error {
+func (h *holder) cancelJob(ctx context.Context, id string, by cell.Caller) error {
 	_, err := await(ctx, h, func(reply func(struct{}, error)) {
-		h.postCancel(id, func(err error) { reply(struct{}{}, err) })
+		h.postCancel(id, by, func(err error) { reply(struct{}{}, err) })
 	})
 	return err
 }
--- a/internal/entry/stops_test.go
+++ b/internal/entry/stops_test.go
@@ -19,7 +19,7 @@
 	job.Steps[0] = cell.Step{Tasks: tasks, EstimateMS: 60_000}
 	assert.NilError(t, holder.Submit(within(5*time.Second), job))
 	eventually(t, "the starts", func() bool { return fleet.started() == tasks })
-	assert.NilError(t, holder.Cancel(within(5*time.Second), job.ID))
+	assert.NilError(t, holder.Cancel(within(5*time.Second), job.ID, cell.Caller{}))
 	eventually(t, "the ends", func() bool {
 		fleet.mu.Lock()
 		defer fleet.mu.Unlock()
--- a/internal/entry/yield_test.go
+++ b/internal/entry/yield_test.go
@@ -26,7 +26,7 @@
 	assert.Assert(t, time.Since(start) < 2*time.Second, "the handover took %v", time.Since(start))
 	fleet.endAll(cell.EndDone)
 	eventually(t, "the completed job", func() bool {
-		state, err := small.Status(within(time.Second), job.ID)
+		state, err := small.Status(within(time.Second), job.ID, cell.Caller{})
 		return err == nil && state == cell.Completed
 	})
 	assert.Equal(t, fleet.started(), 1)
