Keep the jobs of a workspace from callers of others

With keys, a caller could still see and cancel any job whose ID it knew, and was told that its job was accepted when the ID was used by another workspace's job.

Decision: a workspace sees and cancels only its own jobs. A job that was submitted without a key, on a public route, belongs to all who know its ID.

The final state keeps the name of the workspace. Cancelling before the submission applies to jobs of the workspace that cancelled; if two have cancelled the same ID, to all jobs under it, so that neither acknowledgement is broken.

--- a/internal/cell/admission.go
+++ b/internal/cell/admission.go
@@ -18,10 +18,14 @@
 
 // Admit returns nil if the job may be accepted, and otherwise a *fault.Error that says why it
 // is refused and when a retry makes sense. A job that is known is not refused, because it may
-// have been accepted before. Admit must be called before Submit.
+// have been accepted before, unless it belongs to another workspace. Admit must be called before Submit.
 func (s *Scheduler) Admit(spec *Job) error {
-	if s.HasJob(spec.ID) {
+	switch j := s.jobs[spec.ID]; {
+	case j == nil:
+	case !j.isForeignTo(spec.Workspace):
 		return nil
+	case !j.unsubmitted:
+		return fault.New(fault.Conflict, "the ID "+spec.ID+" is used by a job of another workspace", "send the job under a new ID")
 	}
 	if !s.CanEverRun(spec) {
 		e := fault.New(fault.NoCapacity, "no worker of the service can run a step of the job", "send the job again when such workers have been added")
--- a/internal/cell/cancel_test.go
+++ b/internal/cell/cancel_test.go
@@ -13,7 +13,7 @@
 // Guards against a job that runs because its cancelling overtook its submission, also when the holder changes in between.
 func TestJobCancelledBeforeItsSubmission(t *testing.T) {
 	r := newRig(t, 2, Resources{CPUMilli: 8000, MemoryMB: 8000})
-	seq, known := r.s.Cancel(jobID(1))
+	seq, known := r.s.Cancel(jobID(1), Caller{})
 	assert.Assert(t, !known)
 	r.runActions()
 	assert.Assert(t, seq > 0 && seq <= r.seq, "the cancelling is not stored")
@@ -32,14 +32,14 @@
 	r.takeOver(3)
 	state, _ = r.s.Status(jobID(1))
 	assert.Equal(t, state, Cancelled)
-	_, known = r.s.Cancel(jobID(1))
+	_, known = r.s.Cancel(jobID(1), Caller{})
 	assert.Assert(t, known)
 }
 
 // Guards against cancellings of unknown jobs that are kept for ever.
 func TestCancellingOfUnknownJobIsDropped(t *testing.T) {
 	r := newRig(t, 1, Resources{CPUMilli: 8000, MemoryMB: 8000})
-	r.s.Cancel(jobID(1))
+	r.s.Cancel(jobID(1), Caller{})
 	r.runActions()
 	assert.Assert(t, r.log[jobID(1)] != nil)
 	r.advance(121_000)
@@ -50,7 +50,7 @@
 // Guards against a cancelled job that runs because its submission arrived twice and the cancelling was dropped in between.
 func TestRepeatedSubmissionOfJobCancelledBeforeStaysCancelled(t *testing.T) {
 	r := newRig(t, 2, Resources{CPUMilli: 8000, MemoryMB: 8000})
-	r.s.Cancel(jobID(1))
+	r.s.Cancel(jobID(1), Caller{})
 	r.runActions()
 	r.advance(119_000)
 	r.s.Submit(cancelTestJob())
@@ -66,7 +66,7 @@
 // Guards against a cancelled job that runs because a step of the wall clock dropped its cancelling.
 func TestStepOfWallClockKeepsCancelling(t *testing.T) {
 	r := newRig(t, 2, Resources{CPUMilli: 8000, MemoryMB: 8000})
-	r.s.Cancel(jobID(1))
+	r.s.Cancel(jobID(1), Caller{})
 	r.runActions()
 	r.unixMS += 200_000
 	r.advance(100)
--- a/internal/cell/ends_test.go
+++ b/internal/cell/ends_test.go
@@ -162,7 +162,7 @@
 		r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
 		w := r.workers["w00"]
 		w.unreachable = true // the stop is lost
-		_, known := r.s.Cancel(jobID(1))
+		_, known := r.s.Cancel(jobID(1), Caller{})
 		assert.Assert(t, known)
 		r.runActions()
 		if unknown {
--- a/internal/cell/lasting_test.go
+++ b/internal/cell/lasting_test.go
@@ -22,7 +22,7 @@
 		r.submit(oneStep(jobID(3+n), Step{Tasks: 1, Resources: Resources{CPUMilli: 400}, EstimateMS: 10_000}))
 	}
 	assert.Equal(t, len(r.starts), 6, "the gang has reserved what it cannot use")
-	r.s.Cancel(service.ID)
+	r.s.Cancel(service.ID, Caller{})
 	for range 10 {
 		r.advance(searchIntervalMS)
 		r.endAll(EndDone)
--- a/internal/cell/life_test.go
+++ b/internal/cell/life_test.go
@@ -210,7 +210,7 @@
 	r.submit(oneStep(jobID(1), Step{Tasks: 1, Resources: Resources{CPUMilli: 1000}, EstimateMS: 60_000}))
 	first := r.starts[0]
 	r.advance(400)
-	r.s.Cancel(jobID(1))
+	r.s.Cancel(jobID(1), Caller{})
 	r.runActions()
 	r.s.Stopped("w00", first.Task, first.Run) // by the former life
 	r.advance(10)
--- a/internal/cell/place_test.go
+++ b/internal/cell/place_test.go
@@ -57,7 +57,7 @@
 	r.submit(oneStep(jobID(3), Step{Tasks: 3, Resources: Resources{CPUMilli: 1000}, EstimateMS: 10_000}))
 	r.submit(oneStep(jobID(4), Step{Tasks: 2, Resources: Resources{CPUMilli: 1000}, EstimateMS: 10_000, Gang: true}))
 	r.workers["w00"].unreachable = true // the stops of job 2 are not answered yet
-	_, known := r.s.Cancel(jobID(2))
+	_, known := r.s.Cancel(jobID(2), Caller{})
 	assert.Assert(t, known)
 	r.advance(1000)
 	assert.Equal(t, len(r.starts), 6)
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -23,6 +23,11 @@
 	Queue       string `cbor:"4,keyasint,omitempty"`
 	// Unsubmitted is set if the job was cancelled before it was submitted.
 	Unsubmitted bool `cbor:"5,keyasint,omitempty"`
+	// Workspace is that of a job that has ended, or of the caller who cancelled it before it was
+	// submitted.
+	Workspace string `cbor:"6,keyasint,omitempty"`
+	// Keyless is set with Unsubmitted if that caller had no key, in a deployment with workspaces.
+	Keyless bool `cbor:"7,keyasint,omitempty"`
 }
 
 // progressRecord is a part of the progress of a job that has not ended.
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -49,8 +49,8 @@
 		return err
 	}
 	if rec.Job == nil {
-		j := s.addJob(&Job{ID: r.Key, Queue: Queue{Name: rec.Queue}})
-		j.final, j.unsubmitted = rec.Final, rec.Unsubmitted
+		j := s.addJob(&Job{ID: r.Key, Queue: Queue{Name: rec.Queue}, Workspace: rec.Workspace})
+		j.final, j.unsubmitted, j.keyless = rec.Final, rec.Unsubmitted, rec.Keyless
 		j.ended = s.now - Instant(max(s.unixMS-rec.EndedUnixMS, 0))
 		s.endedJobs = append(s.endedJobs, j)
 		return nil
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -12,6 +12,7 @@
 	ended       Instant // on this holder's clock, so that steps of the wall clock do not age it
 	accepted    Instant
 	unsubmitted bool  // cancelled before it was submitted
+	keyless     bool  // that was by a caller without a key, and does not apply to jobs of workspaces
 	started     bool  // a task has run
 	restored    bool  // read from the log by a new holder; its tasks may be running on any worker
 	offsets     []int // by step, see stepOffsets
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -6,17 +6,21 @@
 )
 
 // Submit accepts a job. The caller may be answered once Stored has reached the returned
-// sequence number. A job with a known ID is not accepted again, and one that was cancelled
-// before it was submitted stays cancelled.
+// sequence number. A job with a known ID is not accepted again, and one that its workspace
+// cancelled before it was submitted stays cancelled.
 func (s *Scheduler) Submit(spec *Job) (seq uint64) {
-	if j := s.jobs[spec.ID]; j != nil {
-		if j.unsubmitted {
-			s.submitCancelled(j, spec)
-		}
+	j := s.jobs[spec.ID]
+	switch {
+	case j != nil && j.unsubmitted && j.isForeignTo(spec.Workspace):
+		s.forgetEnded(j) // the record of the job replaces that of the cancelling
+	case j != nil && j.unsubmitted:
+		s.submitCancelled(j, spec)
+		return j.acceptSeq
+	case j != nil:
 		return j.acceptSeq
 	}
 	spec.AcceptedUnixMS = s.unixMS
-	j := s.addJob(spec)
+	j = s.addJob(spec)
 	j.acceptSeq = s.persist(spec.ID, encode(jobRecord{Job: spec}))
 	j.recordSeq = j.acceptSeq
 	s.emit(LogEvent{Event: EventJobAccepted, Job: j.ID, Detail: j.Queue.Name})
@@ -27,14 +31,21 @@
 // submitCancelled records the submission of a job that was cancelled before. The job is kept
 // from now on, because the submission may be repeated.
 func (s *Scheduler) submitCancelled(j *job, spec *Job) {
-	j.unsubmitted = false
-	j.Queue = spec.Queue
-	s.endedJobs = slices.DeleteFunc(s.endedJobs, func(other *job) bool { return other == j })
+	s.forgetEnded(j)
+	s.jobs[j.ID] = j
+	j.unsubmitted, j.keyless = false, false
+	j.Queue, j.Workspace = spec.Queue, spec.Workspace
 	s.end(j, Cancelled)
 	j.acceptSeq = j.endSeq
 	s.emit(LogEvent{Event: EventJobCancelled, Job: j.ID, Detail: j.Queue.Name})
 }
 
+// forgetEnded removes an ended job, whose record stays until another one replaces it.
+func (s *Scheduler) forgetEnded(j *job) {
+	s.endedJobs = slices.DeleteFunc(s.endedJobs, func(other *job) bool { return other == j })
+	delete(s.jobs, j.ID)
+}
+
 // CanEverRun reports whether the registered workers could run every step of the job if
 // they were empty. It returns true if no worker of the job's service is registered,
 // because then that is unknown.
@@ -255,13 +266,20 @@
 // Cancel cancels a job and stops its runs. The caller may be answered once Stored has
 // reached the returned sequence number. Known is false if no job with the ID was submitted.
 // Its submission may still be on its way, so the cancelling is kept for as long as the end of
-// a job, and the job does not run if it is submitted later.
-func (s *Scheduler) Cancel(id string) (seq uint64, known bool) {
+// a job, and the job does not run if the caller's workspace submits it later. The caller must
+// have access to the job, see MayAccess.
+func (s *Scheduler) Cancel(id string, by Caller) (seq uint64, known bool) {
 	j := s.jobs[id]
 	switch {
 	case j == nil:
-		j = s.addJob(&Job{ID: id})
-		j.unsubmitted = true
+		j = s.addJob(&Job{ID: id, Workspace: by.Workspace})
+		j.unsubmitted, j.keyless = true, by.Checked && by.Workspace == ""
+		s.end(j, Cancelled)
+	case j.unsubmitted && j.isForeignTo(by.Workspace):
+		// Two workspaces have cancelled the ID, so no job of either may run.
+		s.forgetEnded(j)
+		s.jobs[id] = j
+		j.Workspace, j.keyless = "", false
 		s.end(j, Cancelled)
 	case j.final == "":
 		s.finish(j, Cancelled)
@@ -291,7 +309,7 @@
 // end sets and writes the final state of a job.
 func (s *Scheduler) end(j *job, final State) {
 	j.final, j.ended = final, s.now
-	j.endSeq = s.persist(j.ID, encode(jobRecord{Final: final, EndedUnixMS: s.unixMS, Queue: j.Queue.Name, Unsubmitted: j.unsubmitted}))
+	j.endSeq = s.persist(j.ID, encode(jobRecord{Final: final, EndedUnixMS: s.unixMS, Queue: j.Queue.Name, Unsubmitted: j.unsubmitted, Workspace: j.Workspace, Keyless: j.keyless}))
 	j.recordSeq = j.endSeq
 	s.endedJobs = append(s.endedJobs, j)
 }
--- a/internal/cell/workspaces.go
+++ b/internal/cell/workspaces.go
@@ -14,10 +14,23 @@
 type Caller struct {
 	// Workspace is the caller's workspace; empty if the caller needed no key.
 	Workspace string `cbor:"1,keyasint,omitempty"`
-	// Checked is set if the deployment has workspaces.
+	// Checked is set if the deployment has workspaces. Otherwise a caller may access all jobs.
 	Checked bool `cbor:"2,keyasint,omitempty"`
 }
 
+// MayAccess reports whether the caller may see and cancel the job with the ID, if one was
+// submitted. A job that was submitted without a key may be accessed by all who know its ID.
+func (s *Scheduler) MayAccess(id string, by Caller) bool {
+	j := s.jobs[id]
+	return !by.Checked || j == nil || j.unsubmitted || j.Workspace == "" || j.Workspace == by.Workspace
+}
+
+// isForeignTo reports whether the job, or the cancelling of one that is not submitted, belongs to
+// others than the workspace.
+func (j *job) isForeignTo(workspace string) bool {
+	return j.Workspace != workspace && (j.Workspace != "" || j.keyless)
+}
+
 // SetWorkspaces replaces the workspaces in force; nil means that the deployment has none.
 func (s *Scheduler) SetWorkspaces(list []Workspace) {
 	s.workspaces = make(map[string]*Workspace, len(list))
--- a/internal/entry/ingress.go
+++ b/internal/entry/ingress.go
@@ -25,7 +25,8 @@
 )
 
 // Submit submits a job. Errors are *fault.Error: Invalid, NotReady, LogDown and
-// NoCapacity mean that the job was not accepted and never runs, OutcomeLost that it may have been accepted and the caller should
+// NoCapacity mean that the job was not accepted and never runs, Conflict that its ID is used by
+// a job of another workspace, OutcomeLost that it may have been accepted and the caller should
 // submit it again.
 func (n *Node) Submit(ctx context.Context, job *cell.Job) error {
 	if err := job.Check(); err != nil {
@@ -41,7 +42,7 @@
 }
 
 // Status returns the state of a job to a caller. Errors are *fault.Error; NotFound means that the
-// job does not exist.
+// job does not exist, or belongs to another workspace.
 func (n *Node) Status(ctx context.Context, id string, by cell.Caller) (cell.State, error) {
 	defer recordSince(n.meters.status, time.Now())
 	n.requests.Add(1)
@@ -57,7 +58,7 @@
 }
 
 // Cancel cancels a job of a caller. Errors are *fault.Error; NotFound means that the job does not
-// exist.
+// exist, or belongs to another workspace.
 func (n *Node) Cancel(ctx context.Context, id string, by cell.Caller) error {
 	n.requests.Add(1)
 	defer n.requests.Add(-1)
--- a/internal/entry/lanes_test.go
+++ b/internal/entry/lanes_test.go
@@ -124,7 +124,7 @@
 	job := testJob(1)
 	earlier.Submit(job)
 	accepted := lastRecord(t, earlier, job.ID)
-	_, known := earlier.Cancel(job.ID)
+	_, known := earlier.Cancel(job.ID, cell.Caller{})
 	assert.Assert(t, known)
 	ended := lastRecord(t, earlier, job.ID)
 	write := func(topic string, records ...cell.Record) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -108,7 +108,7 @@
 	}
 	h.post(func(s *cell.Scheduler) {
 		state, known := s.Status(id)
-		if !known {
+		if !known || !s.MayAccess(id, by) {
 			h.whenProven(func() { reply("", noSuchJob(id)) })
 			return
 		}
@@ -126,7 +126,11 @@
 		return
 	}
 	h.post(func(s *cell.Scheduler) {
-		seq, known := s.Cancel(id)
+		if !s.MayAccess(id, by) {
+			h.whenProven(func() { reply(noSuchJob(id)) })
+			return
+		}
+		seq, known := s.Cancel(id, by)
 		h.whenStored(seq, func() {
 			if known {
 				reply(nil)
