Do not quote malformed messages in errors

Cause: errors of fasthttp quote the header line at fault, and the beginning of what was received, also with SecureErrorLogMessage. A response of the log can hold the keys of the configuration, and a malformed request that of its caller; both would be logged.

Change: httpjson.WithoutContent keeps errors of connections and timeouts, and replaces the others by a fixed text.

--- a/internal/httpjson/client.go
+++ b/internal/httpjson/client.go
@@ -71,6 +71,7 @@
 		MaxConnWaitTimeout:       connectionWait,
 		MaxResponseBodySize:      maxResponseBytes,
 		NoDefaultUserAgentHeader: true,
+		SecureErrorLogMessage:    true,
 		// Requests may not be idempotent, so retries are left to the caller.
 		MaxIdemponentCallAttempts: 1,
 		DialTimeout:               fasthttp.DialTimeout,
@@ -112,7 +113,7 @@
 	defer cancel()
 	response, err := c.roundTrip(ctx, request, call.expected())
 	if err != nil {
-		return nil, c.unavailable(err)
+		return nil, c.unavailable(WithoutContent(err))
 	}
 	defer fasthttp.ReleaseResponse(response)
 	body := append([]byte(nil), response.Body()...)
