--- a/cmd/fulmarlatch-entry/main.go
+++ b/cmd/fulmarlatch-entry/main.go
@@ -129,7 +129,7 @@
 		services.Maintenance = platform.NewMaintenance(address, metadataLog, config)
 	}
 	node := entry.NewNode(nodeConfig(s, log, metricRegistry), services)
-	callerServer := platform.NewCallerServer(node, config, log)
+	callerServer := platform.NewCallerServer(node, config, metricRegistry, log)
 	log.Info("started", zap.String("domain", s.Node.Domain), zap.Int("cells", s.Cells), zap.String("links", s.Node.LinkAddress()))
 
 	if mode := s.Node.ControlMode; mode != "" && mode != platform.ControlByRequest {
