Keep what a workspace has running within its limit

Cause: the limits of workspaces in the configuration were not known to the program.

Change, in force where the contracts name tenants and quota: - The holder of a cell counts what the tasks of a workspace use on all workers (internal/cell/limits.go). A task counts from before its start is sent until no worker can be running it: attempts (also unanswered starts, stops under way and workers that are cut off until their lease has ended), runs that a worker lists without an attempt, and tasks that the roster names on closed workers. - After a takeover, workers that have not listed their tasks count with the open tasks of restored jobs and the runs of ended ones, at most with their capacity. Ended jobs keep the number and size of their open runs for that. - A step starts as many tasks as the limit allows. The first step in placement order that it holds also holds later ones of its workspace, but not services; a gang lets those pass that end before it can start. A held gang reserves no capacity on workers, and held steps ask for no permits but the first two. - A job with a task or gang above the limit is refused with 429. A lowered limit stops nothing; nothing starts before limits are known. - Several cells divide a limit evenly, as they do not know of each other. - limit_reached and limit_left, a gauge, the dump and step_waits show it.

Ruled out: counting in each process (tasks are started by one holder only), asking other cells (a message for each start), stopping tasks for a lowered limit (throws work away; the rule asks for no start only).

Tests: internal/cell/limits_test.go, TestHolderFollowsLimits, TestCellsShareLimits, TestLimitsOfWorkspaces, TestJobBeyondALimitGets429.

--- a/cmd/fulmarlatch-entry/main.go
+++ b/cmd/fulmarlatch-entry/main.go
@@ -205,6 +205,7 @@
 		KeepEndedMS:      int64(b.StatusS * 1000),
 		RemoteDataFactor: b.SpreadFactor,
 		StopTimeoutMS:    b.StopTimeoutMS,
+		LimitsRequired:   s.Node.HasLimits(),
 		Logger:           log,
 		Metrics:          metricRegistry,
 	}
--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -102,6 +102,8 @@
 	EventWorkerRestarted    Event = "worker_restarted"
 	EventCrashSuspected     Event = "crash_suspected"
 	EventTaskGivenUp        Event = "task_given_up"
+	EventLimitReached       Event = "limit_reached"
+	EventLimitLeft          Event = "limit_left"
 )
 
 // EventInfo documents an event for operators.
--- a/internal/cell/admission.go
+++ b/internal/cell/admission.go
@@ -32,6 +32,9 @@
 		e.RetryAfterMS = retryNoCapacityMS
 		return e
 	}
+	if err := s.checkLimit(spec); err != nil {
+		return err
+	}
 	if overload := s.CallOverloadMS(spec); overload > 0 {
 		return errCallOverload(overload)
 	}
@@ -101,7 +104,7 @@
 		s.backlog.add(&call.step.job.Queue, len(call.workers))
 	}
 	for _, st := range s.waiting {
-		if st.awaitsFirstPermits() && !st.permits.pending() && s.now >= st.permits.notBefore && st.job.final == "" {
+		if st.awaitsFirstPermits() && !st.limited && !st.permits.pending() && s.now >= st.permits.notBefore && st.job.final == "" {
 			s.backlog.add(&st.job.Queue, s.firstCallWorkers(st.def))
 		}
 	}
--- a/internal/cell/ask.go
+++ b/internal/cell/ask.go
@@ -52,9 +52,10 @@
 const maxLateCallsPerCaller = maxShortCalls
 
 // requestAhead requests the first permits of a step while the record of its job is being
-// stored. Both take about the same time, which urgent jobs would notice twice.
+// stored. Both take about the same time, which urgent jobs would notice twice. A step that the
+// limit of its workspace would hold asks later.
 func (s *Scheduler) requestAhead(st *step) {
-	if st.job.acceptSeq > s.stored && st.job.final == "" && !st.permits.answered {
+	if st.job.acceptSeq > s.stored && st.job.final == "" && !st.permits.answered && !s.isAtLimit(st.job.use) {
 		s.requestMorePermits(st, false)
 	}
 }
--- a/internal/cell/crash.go
+++ b/internal/cell/crash.go
@@ -352,7 +352,7 @@
 func (s *Scheduler) placeTrials(st *step) (placed bool) {
 	for {
 		t := st.nextOnTrial(s.now)
-		if t == nil || !s.placeTrial(st, t) {
+		if t == nil || s.limitFit(st) == 0 || !s.placeTrial(st, t) {
 			return placed
 		}
 		placed = true
--- a/internal/cell/dump.go
+++ b/internal/cell/dump.go
@@ -18,6 +18,7 @@
 	FreeCPUMilli int64 // free CPU on usable workers, in thousandths of a core
 	Calls        int   // calls to the policy service in flight
 	CallsWaiting int   // steps waiting for a call to the policy service
+	Limited      int   // workspaces whose limit holds steps at present
 	Settled      bool  // tasks of restored jobs may be placed
 }
 
@@ -40,6 +41,11 @@
 	for _, w := range s.workers {
 		sum.add(w, s.now)
 	}
+	for _, u := range s.uses {
+		if u.limitedSince != 0 {
+			sum.Limited++
+		}
+	}
 	return sum
 }
 
@@ -64,6 +70,18 @@
 	Summary Summary
 	Steps   []StepDump // waiting steps
 	Workers []WorkerDump
+	// Workspaces are those with jobs or a limit.
+	Workspaces []WorkspaceDump `json:",omitempty"`
+}
+
+// WorkspaceDump describes what a workspace uses.
+type WorkspaceDump struct {
+	Name     string
+	Limit    Resources // in this cell; 0 for no limit
+	Used     Resources // by tasks that may be running
+	Unlisted Resources // by tasks of an earlier holder on workers that have not listed them, at most
+	Held     int       // waiting steps that the limit holds
+	HeldMS   int64     // for how long it has held steps
 }
 
 // StepDump describes a waiting step.
@@ -77,6 +95,7 @@
 	Allowed   int   // workers that the policy service allows
 	Permitted int   // allowed workers with a valid permit
 	Asking    bool  // a call to the policy service is queued or in flight
+	Limited   bool  // the limit of the workspace holds the step
 }
 
 // WorkerDump describes a worker and its resource accounting.
@@ -108,13 +127,34 @@
 		})
 	}
 	slices.SortFunc(d.Workers, func(a, b WorkerDump) int { return cmp.Compare(a.ID, b.ID) })
+	d.Workspaces = s.dumpWorkspaces()
 	return d
 }
 
+// dumpWorkspaces returns the workspaces sorted by name.
+func (s *Scheduler) dumpWorkspaces() []WorkspaceDump {
+	held := map[*workspaceUse]int{}
+	for _, st := range s.waiting {
+		if st.limited {
+			held[st.job.use]++
+		}
+	}
+	out := make([]WorkspaceDump, 0, len(s.uses))
+	for _, u := range s.uses {
+		d := WorkspaceDump{Name: u.name, Limit: u.limit, Used: u.used, Unlisted: u.unlisted, Held: held[u]}
+		if u.limitedSince != 0 {
+			d.HeldMS = int64(s.now - u.limitedSince)
+		}
+		out = append(out, d)
+	}
+	slices.SortFunc(out, func(a, b WorkspaceDump) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 func (s *Scheduler) dumpStep(st *step) StepDump {
 	d := StepDump{
 		Step: st.name(), Queue: st.job.Queue.Name, Tasks: len(st.tasks), Done: st.done,
-		LatestMS: int64(st.latestStart - s.now), Allowed: len(st.permits.allowed), Asking: st.permits.pending(),
+		LatestMS: int64(st.latestStart - s.now), Allowed: len(st.permits.allowed), Asking: st.permits.pending(), Limited: st.limited,
 	}
 	for _, t := range st.tasks {
 		if len(t.attempts) > 0 {
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -36,6 +36,14 @@
 	return o.CPUMilli <= r.CPUMilli && o.MemoryMB <= r.MemoryMB && o.GPUs <= r.GPUs
 }
 
+// FitsInto reports whether r is at most o in every dimension in which r is not 0.
+func (r Resources) FitsInto(o Resources) bool { return o.FitCount(r, 1) == 1 }
+
+// String returns the amounts for messages.
+func (r Resources) String() string {
+	return fmt.Sprintf("cpu_milli=%d memory_mb=%d gpus=%d", r.CPUMilli, r.MemoryMB, r.GPUs)
+}
+
 // FitCount returns how many tasks that each need o fit into r, up to limit.
 func (r Resources) FitCount(o Resources, limit int) int {
 	n := int64(limit)
--- a/internal/cell/listing.go
+++ b/internal/cell/listing.go
@@ -312,6 +312,9 @@
 		if t := s.task(key.task); t != nil && !known {
 			t.unknownOn = append(t.unknownOn, w.ID)
 		}
+		if !known {
+			w.charges[key] = s.chargeOf(key.task)
+		}
 		if !known || s.isStopOverdue(emitted, requestedAt) {
 			s.emitUnknownStop(w, key)
 		}
@@ -407,6 +410,8 @@
 		return
 	}
 	delete(w.unknownRuns, key)
+	w.charges[key].refund()
+	delete(w.charges, key)
 	if t := s.task(key.task); t != nil {
 		if i := slices.Index(t.unknownOn, w.ID); i >= 0 {
 			t.unknownOn = slices.Delete(t.unknownOn, i, i+1)
@@ -527,6 +532,7 @@
 	a.estimatedEnd = s.now + Instant(s.runTime(st, w))
 	w.attempts[runKey{t.id(), run}] = a
 	w.used = w.used.AddScaled(a.demand, 1)
+	s.chargeAttempt(a)
 	t.attempts = append(t.attempts, a)
 	st.updateGangEnd()
 	s.waitingStale = true
@@ -540,6 +546,7 @@
 	w := a.worker
 	delete(w.attempts, runKey{a.task.id(), a.run})
 	w.used = w.used.AddScaled(a.demand, -1)
+	s.refundAttempt(a)
 	s.freed = append(s.freed, w)
 	for i, other := range a.task.attempts {
 		if other == a {
--- a/internal/cell/place.go
+++ b/internal/cell/place.go
@@ -23,6 +23,8 @@
 		w.reservations = w.reservations[:0]
 	}
 	s.reserved = s.reserved[:0]
+	s.passNumber++
+	s.updateUnlisted()
 	var budget *reservationBudget
 	tries, position := 0, 0
 	order := s.order()
@@ -31,6 +33,9 @@
 			s.requestAhead(st)
 			continue
 		}
+		if s.heldByLimit(st) {
+			continue
+		}
 		if st.awaitsFirstPermits() {
 			s.requestFirstPermits(st)
 			continue
@@ -189,7 +194,7 @@
 func (s *Scheduler) placeTasks(st *step) bool {
 	cands, fitsWithoutPermit := s.candidates(st)
 	s.rank(st, cands)
-	placed := 0
+	placed, left := 0, s.limitFit(st)
 	if st.suspects > 0 {
 		trials := s.placeTrials(st)
 		st.nextSearch = s.now + searchIntervalMS
@@ -205,6 +210,9 @@
 			st.nextSearch = s.now + searchIntervalMS
 			continue
 		}
+		if placed == left {
+			break // the limit of the workspace is reached
+		}
 		c := firstWithCapacity(cands, t)
 		if c == nil {
 			st.nextSearch = s.now + searchIntervalMS
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -28,6 +28,14 @@
 	Workspace string `cbor:"6,keyasint,omitempty"`
 	// Keyless is set with Unsubmitted if that caller had no key, in a deployment with workspaces.
 	Keyless bool `cbor:"7,keyasint,omitempty"`
+	// Stopping describes the runs of a job of a workspace that had not ended when the job did.
+	Stopping stoppingRuns `cbor:"8,keyasint,omitempty"`
+}
+
+// stoppingRuns are runs that are being stopped.
+type stoppingRuns struct {
+	Runs      int       `cbor:"1,keyasint,omitempty"`
+	Resources Resources `cbor:"2,keyasint,omitempty"` // of one run at most
 }
 
 // progressRecord is a part of the progress of a job that has not ended.
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -51,6 +51,7 @@
 	if rec.Job == nil {
 		j := s.addJob(&Job{ID: r.Key, Queue: Queue{Name: rec.Queue}, Workspace: rec.Workspace})
 		j.final, j.unsubmitted, j.keyless = rec.Final, rec.Unsubmitted, rec.Keyless
+		j.restored, j.stopping = true, rec.Stopping
 		j.ended = s.now - Instant(max(s.unixMS-rec.EndedUnixMS, 0))
 		s.endedJobs = append(s.endedJobs, j)
 		return nil
--- a/internal/cell/rig_test.go
+++ b/internal/cell/rig_test.go
@@ -25,6 +25,7 @@
 	workers        map[string]*fakeWorker
 	infos          []WorkerInfo
 	allow          func(step, worker string) bool
+	workspaces     []Workspace // with limits; nil for none
 }
 
 type fakeWorker struct {
@@ -49,8 +50,14 @@
 
 // takeOver replaces the Scheduler with that of a new holder, restored from the log.
 func (r *rig) takeOver(term uint32) {
-	r.s = New(Config{Term: term - 1, RestoreUntil: r.now + 12000, RemoteDataFactor: 3, KeepEndedMS: 120000, StopTimeoutMS: 400, LongestLeaseMS: 6200})
+	r.s = New(Config{
+		Term: term - 1, RestoreUntil: r.now + 12000, RemoteDataFactor: 3, KeepEndedMS: 120000, StopTimeoutMS: 400, LongestLeaseMS: 6200,
+		LimitsRequired: r.workspaces != nil,
+	})
 	r.s.Tick(r.now, r.unixMS)
+	if r.workspaces != nil {
+		r.s.SetWorkspaces(r.workspaces)
+	}
 	var records []Record
 	for key, value := range r.log {
 		records = append(records, Record{key, value})
--- a/internal/cell/roster.go
+++ b/internal/cell/roster.go
@@ -15,8 +15,9 @@
 
 // unreconciledWorker is a worker of an earlier holder that has not sent a listing.
 type unreconciledWorker struct {
-	closed bool
-	tasks  []TaskID // that may be running on a closed worker
+	closed  bool
+	tasks   []TaskID // that may be running on a closed worker
+	charges []charge // of these tasks
 }
 
 // closingDelayMS is how long the roster may lack a closed worker, in ms. Many workers are
@@ -144,6 +145,7 @@
 	s.reconciling = len(s.unreconciled) > 0 || s.rosterLost
 	for workerID, u := range s.unreconciled {
 		for _, id := range u.tasks {
+			u.charges = append(u.charges, s.chargeOf(id))
 			if t := s.task(id); t != nil {
 				t.unreconciledOn = append(t.unreconciledOn, workerID)
 			} else if j := s.jobs[id.Job]; j != nil && j.final == "" {
@@ -176,6 +178,9 @@
 		return
 	}
 	delete(s.unreconciled, workerID)
+	for _, c := range u.charges {
+		c.refund()
+	}
 	if age := int64(s.now - s.restoredAt); how != reconciledListed || age > lateReconciliationMS {
 		s.emit(LogEvent{Event: EventWorkerReconciled, Worker: workerID, Detail: how, AgeMS: age})
 	}
--- a/internal/cell/state.go
+++ b/internal/cell/state.go
@@ -5,18 +5,20 @@
 // job is a job and its progress.
 type job struct {
 	*Job
-	final       State // empty until the job has ended
+	use         *workspaceUse // nil if the job has no workspace
+	final       State         // empty until the job has ended
 	acceptSeq   uint64
 	endSeq      uint64  // of the record with the final state
 	recordSeq   uint64  // of the newest record
 	ended       Instant // on this holder's clock, so that steps of the wall clock do not age it
 	accepted    Instant
-	unsubmitted bool  // cancelled before it was submitted
-	keyless     bool  // that was by a caller without a key, and does not apply to jobs of workspaces
-	started     bool  // a task has run
-	restored    bool  // read from the log by a new holder; its tasks may be running on any worker
-	offsets     []int // by step, see stepOffsets
-	dirty       bool  // the progress must be written
+	unsubmitted bool         // cancelled before it was submitted
+	keyless     bool         // that was by a caller without a key, and does not apply to jobs of workspaces
+	stopping    stoppingRuns // of a restored job that has ended
+	started     bool         // a task has run
+	restored    bool         // read from the log by a new holder; its tasks may be running on any worker
+	offsets     []int        // by step, see stepOffsets
+	dirty       bool         // the progress must be written
 	// changedParts and storedParts are the parts of the progress that must be written, and
 	// those that have a record.
 	changedParts map[int]bool
@@ -60,6 +62,7 @@
 	gangEnd      Instant  // when the slowest member of a running gang is estimated to end
 	plan         gangPlan // of a gang that does not fit yet
 	nextSearch   Instant  // when to search for capacity again even if no worker has gained any
+	limited      bool     // the limit of its workspace held the step in the last pass
 	suspects     int      // tasks that are suspected of crashing workers
 	otherTried   bool     // a task that is not suspected was on trial since suspects was 0
 }
@@ -179,9 +182,10 @@
 	// attempt, and when their stop was last emitted. The worker gets no tasks until they
 	// have ended.
 	unknownRuns  map[runKey]Instant
-	lastListing  Instant // when the newest listing was requested
-	endsOmitted  bool    // the newest listing may lack ended tasks
-	lastEnd      uint64  // highest number of a processed end
+	charges      map[runKey]charge // of these runs
+	lastListing  Instant           // when the newest listing was requested
+	endsOmitted  bool              // the newest listing may lack ended tasks
+	lastEnd      uint64            // highest number of a processed end
 	pendingEnds  []*pendingEnd
 	acknowledged uint64  // number up to which ends are acknowledged
 	avoidUntil   Instant // no tasks are placed on the worker before
@@ -192,7 +196,7 @@
 }
 
 func newLife(incarnation int64) life {
-	return life{incarnation: incarnation, unknownRuns: map[runKey]Instant{}}
+	return life{incarnation: incarnation, unknownRuns: map[runKey]Instant{}, charges: map[runKey]charge{}}
 }
 
 // pendingEnd is an ended run that may be acknowledged once the log holds the record
@@ -252,6 +256,9 @@
 	KeepEndedMS int64
 	// StopTimeoutMS is the maximum time in ms that a worker takes to stop a run.
 	StopTimeoutMS int64
+	// LimitsRequired is set if workspaces have limits: their tasks start only once SetWorkspaces
+	// has been called.
+	LimitsRequired bool
 	// LongestLeaseMS is the longest time that the lease of a worker can last on this process's clock, in ms.
 	LongestLeaseMS int64
 }
@@ -297,15 +304,17 @@
 	// workersVersion changes whenever a worker may have become suitable for a step or begins
 	// another life. What a step has concluded from all workers holds for one version only.
 	workersVersion uint64
-	unanswered     map[*worker]bool      // workers whose unansweredUntil is set
-	lost           map[string]*lostRuns  // runs of workers that have stopped answering, by worker ID
-	trials         []*attempt            // runs of suspected tasks
-	workspaces     map[string]*Workspace // by name
-	callQueue      []*permitCall         // waiting for a caller
-	backlog        callBacklog           // of calls, as last computed
-	queuedCalls    map[bool]int          // number of calls in callQueue by permitCall.isLong
-	endedJobs      []*job                // in order of their end
-	scheduledJobs  []*job                // jobs with future occurrences
+	unanswered     map[*worker]bool         // workers whose unansweredUntil is set
+	lost           map[string]*lostRuns     // runs of workers that have stopped answering, by worker ID
+	trials         []*attempt               // runs of suspected tasks
+	uses           map[string]*workspaceUse // by name of the workspace
+	limitsKnown    bool                     // SetWorkspaces has been called
+	passNumber     uint64                   // of placement passes
+	callQueue      []*permitCall            // waiting for a caller
+	backlog        callBacklog              // of calls, as last computed
+	queuedCalls    map[bool]int             // number of calls in callQueue by permitCall.isLong
+	endedJobs      []*job                   // in order of their end
+	scheduledJobs  []*job                   // jobs with future occurrences
 }
 
 // New returns a Scheduler without jobs and workers.
@@ -319,6 +328,7 @@
 		unreconciled:  map[string]*unreconciledWorker{},
 		lost:          map[string]*lostRuns{},
 		dropped:       map[string]bool{},
+		uses:          map[string]*workspaceUse{},
 		callers:       callers{},
 		allowedShares: allowedShares{},
 		queuedCalls:   map[bool]int{},
@@ -355,6 +365,7 @@
 		s.confirmGone()
 		s.releaseUnanswered()
 		s.reportWaits()
+		s.reportLimits()
 	}
 	s.checkTrials()
 	s.place()
--- a/internal/cell/submit.go
+++ b/internal/cell/submit.go
@@ -34,7 +34,7 @@
 	s.forgetEnded(j)
 	s.jobs[j.ID] = j
 	j.unsubmitted, j.keyless = false, false
-	j.Queue, j.Workspace = spec.Queue, spec.Workspace
+	j.Queue, j.Workspace, j.use = spec.Queue, spec.Workspace, s.useOf(spec.Workspace)
 	s.end(j, Cancelled)
 	j.acceptSeq = j.endSeq
 	s.emit(LogEvent{Event: EventJobCancelled, Job: j.ID, Detail: j.Queue.Name})
@@ -105,7 +105,7 @@
 func (s *Scheduler) HasJob(id string) bool { return s.jobs[id] != nil }
 
 func (s *Scheduler) addJob(spec *Job) *job {
-	j := &job{Job: spec, accepted: s.now, offsets: stepOffsets(spec.Steps), occurrences: map[int]*occurrence{}}
+	j := &job{Job: spec, use: s.useOf(spec.Workspace), accepted: s.now, offsets: stepOffsets(spec.Steps), occurrences: map[int]*occurrence{}}
 	s.jobs[spec.ID] = j
 	return j
 }
@@ -279,7 +279,7 @@
 		// Two workspaces have cancelled the ID, so no job of either may run.
 		s.forgetEnded(j)
 		s.jobs[id] = j
-		j.Workspace, j.keyless = "", false
+		j.Workspace, j.use, j.keyless = "", nil, false
 		s.end(j, Cancelled)
 	case j.final == "":
 		s.finish(j, Cancelled)
@@ -309,7 +309,9 @@
 // end sets and writes the final state of a job.
 func (s *Scheduler) end(j *job, final State) {
 	j.final, j.ended = final, s.now
-	j.endSeq = s.persist(j.ID, encode(jobRecord{Final: final, EndedUnixMS: s.unixMS, Queue: j.Queue.Name, Unsubmitted: j.unsubmitted, Workspace: j.Workspace, Keyless: j.keyless}))
+	j.endSeq = s.persist(j.ID, encode(jobRecord{
+		Final: final, EndedUnixMS: s.unixMS, Queue: j.Queue.Name, Unsubmitted: j.unsubmitted, Workspace: j.Workspace, Keyless: j.keyless, Stopping: j.openRuns(),
+	}))
 	j.recordSeq = j.endSeq
 	s.endedJobs = append(s.endedJobs, j)
 }
--- a/internal/cell/waits.go
+++ b/internal/cell/waits.go
@@ -133,6 +133,8 @@
 		return st.heldOn()
 	case st.def.Gang && st.hasAttempts():
 		return "runs_ending"
+	case st.limited:
+		return "workspace_limit"
 	case st.suspects > 0:
 		return "crash_trial"
 	}
--- a/internal/cell/workspaces.go
+++ b/internal/cell/workspaces.go
@@ -6,7 +6,8 @@
 	// Weight is the workspace's share relative to that of other workspaces, and the number of
 	// jobs a second that it may submit, both when capacity is short.
 	Weight float64
-	// Limit is what the workspace may have running on all workers. An amount of 0 means no limit.
+	// Limit is what the tasks of the workspace may use on all workers of the cell. An amount of 0
+	// means no limit, and a negative one that the workspace may use none.
 	Limit Resources
 }
 
@@ -30,11 +31,3 @@
 func (j *job) isForeignTo(workspace string) bool {
 	return j.Workspace != workspace && (j.Workspace != "" || j.keyless)
 }
-
-// SetWorkspaces replaces the workspaces in force; nil means that the deployment has none.
-func (s *Scheduler) SetWorkspaces(list []Workspace) {
-	s.workspaces = make(map[string]*Workspace, len(list))
-	for i := range list {
-		s.workspaces[list[i].Name] = &list[i]
-	}
-}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -35,8 +35,11 @@
 	StopTimeoutMS int64
 	// RemoteDataFactor is how many times longer a task takes away from its data.
 	RemoteDataFactor float64
-	Logger           *zap.Logger
-	Metrics          metrics.Registry
+	// LimitsRequired is set if workspaces have limits. Their tasks start only once the limits are
+	// known.
+	LimitsRequired bool
+	Logger         *zap.Logger
+	Metrics        metrics.Registry
 }
 
 // maxLeaseMS is the longest lease that a holder gives, in ms. Tasks of a worker that is
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -501,6 +501,8 @@
 // fakeConfiguration is a process's configuration of version 7. Its record is the name of the process.
 type fakeConfiguration string
 
+func (c fakeConfiguration) Workspaces() ([]cell.Workspace, uint64) { return nil, 7 }
+
 func (c fakeConfiguration) Copy(known uint64) ConfigurationCopy {
 	out := ConfigurationCopy{Version: 7, Age: 1500 * time.Microsecond}
 	if known < out.Version {
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -46,7 +46,9 @@
 	lag            lagMeter
 	longestWait    time.Duration // of an event, since the last summary
 	passes         int           // since the last summary
-	nextPassAt     time.Time     // zero if the next pass may begin now
+	// workspacesVersion is that of the configuration whose limits the scheduler has.
+	workspacesVersion uint64
+	nextPassAt        time.Time // zero if the next pass may begin now
 
 	silenceReportedAt time.Time // when the followers were last notified of a silent log
 	summarizedAt      time.Time // when the last summary was logged
@@ -212,6 +214,7 @@
 			due = true
 		case <-timer.C:
 			h.tick()
+			h.updateWorkspaces()
 			h.checkLog()
 			h.logSummary()
 			due = true
@@ -390,7 +393,7 @@
 	h.logger.Info("cell_state", zap.Int("jobs", s.Jobs), zap.Int("waiting", s.Waiting), zap.Int("late", s.Late),
 		zap.Int("attempts", s.Attempts), zap.Int("closing", s.Closing), zap.Int("workers", s.Workers), zap.Int("usable", s.Usable),
 		zap.Int("probation", s.Probation), zap.Int64("free_cpu_milli", s.FreeCPUMilli), zap.Int("calls", s.Calls),
-		zap.Int("calls_waiting", s.CallsWaiting), zap.Bool("settled", s.Settled), zap.Uint64("stored", h.stored),
+		zap.Int("calls_waiting", s.CallsWaiting), zap.Int("limited", s.Limited), zap.Bool("settled", s.Settled), zap.Uint64("stored", h.stored),
 		zap.Int("turns", h.passes), zap.Duration("longest_wait", h.longestWait))
 	h.passes, h.longestWait = 0, 0
 }
--- a/internal/entry/meters.go
+++ b/internal/entry/meters.go
@@ -56,7 +56,7 @@
 func (m *meters) setGauges(s cell.Summary) {
 	for name, value := range map[string]int{
 		"cell.jobs": s.Jobs, "cell.waiting": s.Waiting, "cell.late": s.Late, "cell.attempts": s.Attempts,
-		"cell.workers": s.Workers, "cell.usable": s.Usable, "cell.probation": s.Probation, "cell.calls": s.Calls,
+		"cell.workers": s.Workers, "cell.usable": s.Usable, "cell.probation": s.Probation, "cell.calls": s.Calls, "cell.limited": s.Limited,
 		"cell.free_cpu_milli": int(s.FreeCPUMilli),
 	} {
 		metrics.GetOrRegisterGauge(name, m.registry).Update(int64(value))
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -190,6 +190,9 @@
 	// Copy returns the newest version that is known, with its record if the version is newer
 	// than the known one of another process. It must not block.
 	Copy(known uint64) ConfigurationCopy
+	// Workspaces returns the workspaces of the newest version that is known, and the version; 0
+	// if none is. It must not block.
+	Workspaces() (list []cell.Workspace, version uint64)
 }
 
 // ConfigurationCopy is a version of the operators' configuration.
--- a/internal/entry/restore.go
+++ b/internal/entry/restore.go
@@ -80,7 +80,9 @@
 		KeepEndedMS:      cfg.KeepEndedMS,
 		StopTimeoutMS:    cfg.StopTimeoutMS,
 		LongestLeaseMS:   maxLeaseDurationMS(cfg.LongestLeaseMS),
+		LimitsRequired:   cfg.LimitsRequired,
 	})
+	h.updateWorkspaces()
 	h.sched.Tick(h.now(), time.Now().UnixMilli())
 	skipped := h.sched.Restore(records)
 	for _, err := range skipped {
