--- a/internal/cell/action.go
+++ b/internal/cell/action.go
@@ -135,6 +135,8 @@
 	{EventWorkerLeaseExpired, "the lease of an unreachable worker has expired, or the worker was replaced; its tasks are placed again", "number of tasks", ""},
 	{EventCrashSuspected, "a worker crashed soon after it started the task; until a run lasts, the task is started where no other task starts", "such crashes of the task in a row", "whether no other step had started a task there"},
 	{EventTaskGivenUp, "a task has crashed its workers; its job fails", "crashes under the task", "queue"},
+	{EventLimitReached, "the limit of a workspace begins to hold steps of it", "", "workspace, what its tasks use of what they may"},
+	{EventLimitLeft, "the limit of a workspace has held no step for 1 s", "for how long it held some", "workspace, what its tasks use of what they may"},
 	{EventWorkerRestarted, "a worker has restarted; its tasks are placed again", "number of tasks", ""},
 	{EventWorkerReconciled, "after a takeover, a worker that an earlier holder used is accounted for, later than most or without a listing: none of the tasks of older jobs waits for it any more", "time since the records were read", "listed, lease_expired, replaced, or waited for the longest lease that an earlier holder can have given"},
 	{EventListingDropped, "a worker without accounting has sent a listing, which is not used; reported once until the registry names the worker", "", "runs and ends listed"},
--- a/internal/entry/ingress.go
+++ b/internal/entry/ingress.go
@@ -24,9 +24,9 @@
 	retryNoHolderMS = 1000
 )
 
-// Submit submits a job. Errors are *fault.Error: Invalid, NotReady, LogDown and
-// NoCapacity mean that the job was not accepted and never runs, Conflict that its ID is used by
-// a job of another workspace, OutcomeLost that it may have been accepted and the caller should
+// Submit submits a job. Errors are *fault.Error: Invalid, NotReady, LogDown, NoCapacity and
+// QuotaExceeded mean that the job was not accepted and never runs, Conflict that its ID is used
+// by a job of another workspace, OutcomeLost that it may have been accepted and the caller should
 // submit it again.
 func (n *Node) Submit(ctx context.Context, job *cell.Job) error {
 	if err := job.Check(); err != nil {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -132,6 +132,8 @@
 			withdrawn, lastRefusal = true, l.Fields["error"]
 		case "request_unanswered":
 			lastRefusal = l.Fields["error"]
+		case "key_refused":
+			lastRefusal = fmt.Sprintf("the key of a %s was %s", l.Fields["method"], l.Fields["key"])
 		}
 	}
 	meanwhile := ""
